Add kernel, ownership replay, assignment policies and shard coordination

Cause: the project starts; the decision core comes first because every process depends on it. Ruled out: per-key state (memory grows with keys), a vote among instances (the users rule it out).

--- /dev/null
+++ b/include/clementinebeam/kernel/orderedmutex.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <mutex>
+
+namespace clementinebeam {
+
+/// Position of a lock in the global order; a thread takes locks in ascending order only.
+enum class lock_rank {
+    ModuleState = 10,
+    ConfigurationTable = 20,
+    OwnershipTable = 30,
+    ShardTable = 40,
+    LedgerTable = 50,
+    RoutingTable = 60,
+    TargetTable = 70,
+    ConnectionPool = 80,
+    PeerTable = 90,
+    AuditTable = 100,
+};
+
+/// Mutex with a rank. With CLEMENTINEBEAM_CHECK_LOCKS a violation of the order aborts the process.
+class ordered_mutex
+{
+public:
+    /// @param rank position in the global lock order.
+    explicit ordered_mutex(lock_rank rank) : m_rank(rank) { }
+
+    void lock();
+    void unlock();
+    bool try_lock(); // NOLINT(readability-identifier-naming)
+
+private:
+    std::mutex m_mutex;
+    const lock_rank m_rank;
+};
+
+using ordered_lock = std::unique_lock<ordered_mutex>;
+
+} // namespace clementinebeam
--- /dev/null
+++ b/include/clementinebeam/kernel/result.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "clementinebeam/kernel/errorkind.h"
+
+#include <boost/outcome/std_result.hpp>
+
+namespace clementinebeam {
+
+/// A value or an std::error_code.
+template <class value_type>
+using result = boost::outcome_v2::std_result<value_type>;
+
+} // namespace clementinebeam
--- /dev/null
+++ b/include/clementinebeam/kernel/serviceregistry.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+#include <typeindex>
+#include <unordered_map>
+
+namespace clementinebeam {
+
+/// Holds one implementation for each service interface.
+class service_registry
+{
+public:
+    /// Registers the implementation of an interface; a second registration replaces the first.
+    /// @param service the implementation.
+    template <class interface_type>
+    void provide(std::shared_ptr<interface_type> service)
+    {
+        m_services[typeid(interface_type)] = std::move(service);
+    }
+
+    /// @return the implementation of an interface, or null if no module provides it.
+    template <class interface_type>
+    std::shared_ptr<interface_type> find() const
+    {
+        const auto found = m_services.find(typeid(interface_type));
+        if (found == m_services.end())
+            return nullptr;
+        return std::static_pointer_cast<interface_type>(found->second);
+    }
+
+private:
+    std::unordered_map<std::type_index, std::shared_ptr<void>> m_services;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/coordination/internal/instanceranking.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "clementinebeam/coordination/coordinationtypes.h"
+
+#include <functional>
+#include <vector>
+
+namespace clementinebeam {
+
+/// Orders the instances for one shard, so that all instances agree on who acts first.
+class instance_ranking
+{
+public:
+    explicit instance_ranking(shard_id shard) : m_shard(std::move(shard)) { }
+
+    /// @param instances all listed instances.
+    void setInstances(std::vector<instance_view> instances);
+
+    /// @return all instances, highest rank first.
+    const std::vector<instance_view> &all() const { return m_instances; }
+
+    /// @param id an instance.
+    /// @return how many instances that stay rank above it.
+    std::uint32_t rankOf(const instance_id &id) const;
+
+    /// @param id an instance.
+    /// @return its listing, or null.
+    const instance_view *find(const instance_id &id) const;
+
+    /// Picks a standby, in another data centre than the leader if possible.
+    /// @param leader the leader.
+    /// @param isCandidate tells whether an instance may be picked.
+    /// @return the instance, or null.
+    const instance_view *pickStandby(const instance_id &leader,
+                                     const std::function<bool(const instance_id &)> &isCandidate) const;
+
+private:
+    shard_id m_shard;
+    std::vector<instance_view> m_instances;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/coordination/internal/leaderengine.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "clementinebeam/assignment/iassignmentpolicy.h"
+#include "clementinebeam/coordination/coordinationtypes.h"
+#include "clementinebeam/kernel/randomsource.h"
+#include "internal/leadershipright.h"
+#include "internal/moveplanner.h"
+#include "internal/predecessorfence.h"
+#include "internal/proposals.h"
+#include "internal/targetsession.h"
+
+#include <map>
+#include <memory>
+
+namespace clementinebeam {
+
+/// What a leader does in its term: renews leases, plans moves, grants and revokes slots.
+///
+/// Each control message is derived from the agreed state and from what the target last confirmed,
+/// so a lost message needs no special handling.
+class leader_engine
+{
+public:
+    leader_engine(shard_id shard, instance_id self, const coordination_settings &settings,
+                  std::unique_ptr<i_assignment_policy> policy);
+
+    void setTargets(std::vector<listed_target> targets, instant now);
+    void setSlots(std::vector<slot_index> slots) { m_slots = std::move(slots); }
+    void setPolicy(std::unique_ptr<i_assignment_policy> policy) { m_policy = std::move(policy); }
+    void setLoad(std::map<slot_index, double> load) { m_load = std::move(load); }
+
+    /// Starts to lead.
+    /// @param state the agreed state, with the term to lead in.
+    /// @param isContinuation this leader also led the term before.
+    /// @param now the current time.
+    void begin(const shard_state &state, bool isContinuation, instant now);
+
+    /// Takes over a term from a leader that stopped.
+    /// @param state the agreed state.
+    /// @param sequenceFloor highest sequence that the stopped leader used.
+    /// @param now the current time.
+    void takeOver(const shard_state &state, std::uint64_t sequenceFloor, instant now);
+
+    /// Stops to lead and forgets all targets.
+    void end();
+
+    void onTargetReply(const target_id &from, std::uint64_t sequence, const control_reply &reply,
+                       const shard_state &state, instant now, action_list &actions);
+    void onTargetFailure(const target_id &from, std::uint64_t sequence);
+
+    /// @param state the agreed state.
+    /// @param random source of record ids.
+    /// @param records records that are not read back yet.
+    /// @param now the current time.
+    /// @param actions receives what to do.
+    void tick(const shard_state &state, random_source &random, proposals &records, instant now,
+              action_list &actions);
+
+    leadership_right &right() { return m_right; }
+    const leadership_right &right() const { return m_right; }
+    predecessor_fence &fence() { return m_fence; }
+
+    /// @return the highest sequence of any control message so far.
+    std::uint64_t highestSequence() const;
+
+    /// @return whether the owner confirmed that it serves the slot at its epoch.
+    bool isServed(slot_index slot, const shard_state &state) const;
+
+    std::vector<target_status> status(instant now) const;
+
+    /// Sends each idle target what it should know.
+    void reconcile(const shard_state &state, instant now, action_list &actions);
+
+private:
+    void addSessions(const shard_state &state, instant now);
+    target_session &session(const target_id &id, instant now);
+    const target_session *findSession(const target_id &id) const;
+    bool isDraining(const target_id &id, const target_session &session) const;
+    bool isLost(const target_id &id, instant now) const;
+    bool isSettled(const slot_state &slot, slot_index index, instant now) const;
+    bool hasGraceEnded(instant now) const;
+    bool needsPlacement(const shard_state &state, instant now) const;
+    assignment_input makeInput(const shard_state &state, instant now) const;
+    void plan(const shard_state &state, instant now);
+    void propose(const shard_state &state, random_source &random, proposals &records, instant now,
+                 action_list &actions);
+    void proposeSettled(const shard_state &state, random_source &random, proposals &records,
+                        instant now, action_list &actions);
+    control_request makeRequest(const target_id &id, const target_session &session,
+                                const shard_state &state, instant now) const;
+
+    shard_id m_shard;
+    instance_id m_self;
+    coordination_settings m_settings;
+    std::unique_ptr<i_assignment_policy> m_policy;
+    leadership_right m_right;
+    predecessor_fence m_fence;
+    move_planner m_planner;
+    std::map<target_id, target_session> m_sessions;
+    std::map<target_id, listed_target> m_targets;
+    std::vector<slot_index> m_slots;
+    std::map<slot_index, double> m_load;
+    instant m_nextPlan{};
+};
+
+/// @param state a shard's state.
+/// @param slot a slot.
+/// @return the slot's state; empty if it was never assigned.
+const slot_state &slotIn(const shard_state &state, slot_index slot);
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/coordination/internal/shardcontroller.cpp
@@ -0,0 +1,529 @@
+#include "clementinebeam/coordination/shardcontroller.h"
+
+#include "internal/instanceranking.h"
+#include "internal/leaderengine.h"
+#include "internal/proposals.h"
+#include "internal/standbymonitor.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+/// A leader sends heartbeats to its standby and to this many of the instances that rank highest.
+constexpr std::size_t MAX_WATCHERS = 15;
+
+/// How long a stopping leader repeats its handover without an answer.
+constexpr std::chrono::milliseconds HANDOVER_LIMIT{1000};
+
+} // namespace
+
+class shard_controller::implementation
+{
+public:
+    implementation(shard_id shard, incarnation_id self, const coordination_settings &settings,
+                   std::unique_ptr<i_assignment_policy> policy, std::uint64_t randomSeed)
+        : m_shard(shard)
+        , m_self(self)
+        , m_settings(settings)
+        , m_random(randomSeed)
+        , m_ranking(shard)
+        , m_engine(shard, self.instance, settings, std::move(policy))
+        , m_records(settings)
+        , m_monitor(settings)
+    {
+        m_state.shard = std::move(shard);
+    }
+
+    void onRecord(const ownership_record &record, const shard_state &state, instant now,
+                  action_list &actions)
+    {
+        m_records.resolve(record.id);
+        adoptState(state, now);
+        const auto *settled = std::get_if<settled_record>(&record.body);
+        if (settled && settled->byOperator)
+            m_engine.fence().beginAfterHandover(now);
+        if (isLeader())
+            m_engine.reconcile(m_state, now, actions);
+    }
+
+    void adoptState(const shard_state &state, instant now)
+    {
+        const bool wasLeader = isLeader();
+        const bool isNewTerm = state.term != m_state.term;
+        const bool becameSettled = state.earlier.empty() && !m_state.earlier.empty();
+        m_state = state;
+        if (becameSettled && wasLeader)
+            m_engine.fence().begin({}, now);
+        if (!isNewTerm)
+            return;
+        m_acting = false;
+        m_handover.reset();
+        m_termStart = now;
+        m_nextHeartbeat = now;
+        const auto wait = state.checkpointOffset == 0 ? m_settings.appendRetry
+                                                      : m_settings.checkpointInterval;
+        m_nextCheckpoint = now + wait;
+        m_monitor.begin(now);
+        if (isLeader())
+            m_engine.begin(m_state, wasLeader, now);
+        else
+            m_engine.end();
+    }
+
+    void onLogRead(instant readStart, log_offset nextOffset)
+    {
+        m_nextOffset = nextOffset;
+        if (!m_known)
+            m_monitor.begin(readStart);
+        m_known = true;
+        if (isLeader())
+            m_engine.right().confirmByLog(readStart);
+    }
+
+    bool onMessage(const incarnation_id &from, const coordination_message &message, instant now,
+                   action_list &actions)
+    {
+        return std::visit([&](const auto &body) { return handle(from, body, now, actions); }, message);
+    }
+
+    void noteSender(const incarnation_id &from, instant now)
+    {
+        m_incarnations[from.instance] = from.incarnation;
+        m_heardAt[from.instance] = now;
+    }
+
+    void tick(instant now, action_list &actions)
+    {
+        if (m_stopping) {
+            repeatHandover(now, actions);
+            return;
+        }
+        m_records.retry(m_state.term, now, actions);
+        if (isLeader())
+            lead(now, actions);
+        else
+            watch(now, actions);
+    }
+
+    void beginStop(instant now, action_list &actions)
+    {
+        const bool handsOver = isLeader() && !m_state.standby.empty() && !m_acting;
+        if (handsOver)
+            m_handover = handover{m_shard, m_state.term, m_engine.highestSequence()};
+        m_stopping = true;
+        m_stopAt = now;
+        m_termFloor = m_state.term + 1;
+        m_engine.end();
+        repeatHandover(now, actions);
+    }
+
+    bool isStopped(instant now) const
+    {
+        return m_stopping && (!m_handover || now - m_stopAt >= HANDOVER_LIMIT);
+    }
+
+    bool isLeader() const
+    {
+        if (m_stopping || m_state.term == 0 || m_state.term < m_termFloor)
+            return false;
+        return m_state.leader == m_self || m_acting;
+    }
+
+    bool isStandby() const
+    {
+        return !m_stopping && m_state.term >= m_termFloor && m_state.standby == m_self && !isLeader();
+    }
+
+    shard_status status(instant now) const
+    {
+        shard_status result;
+        result.shard = m_shard;
+        result.role = isLeader() ? shard_role::Leader
+                : isStandby()    ? shard_role::Standby
+                                 : shard_role::Observer;
+        result.term = m_state.term;
+        result.leader = m_state.leader;
+        result.standby = m_state.standby;
+        result.rightValid = isLeader() && m_engine.right().isValid(now);
+        result.settled = m_state.earlier.empty();
+        if (isLeader()) {
+            result.targets = m_engine.status(now);
+            for (const auto slot : m_slots)
+                result.unservedSlots += m_engine.isServed(slot, m_state) ? 0 : 1;
+        }
+        return result;
+    }
+
+    void confirmEarlierLeadersLost(instant now, action_list &actions)
+    {
+        if (!isLeader() || m_state.earlier.empty())
+            return;
+        settled_record body{m_shard, m_state.term, true};
+        m_records.add({newRecordId(m_random), m_self.instance, body}, now, actions);
+    }
+
+    shard_id m_shard;
+    incarnation_id m_self;
+    coordination_settings m_settings;
+    random_source m_random;
+    instance_ranking m_ranking;
+    leader_engine m_engine;
+    proposals m_records;
+    standby_monitor m_monitor;
+    shard_state m_state;
+    std::vector<slot_index> m_slots;
+    term_number m_termFloor = 0; ///< This instance is not active in any term below.
+
+private:
+    bool handle(const incarnation_id &from, const heartbeat &body, instant now, action_list &actions)
+    {
+        const bool isCurrent = body.term == m_state.term && from == m_state.leader && !m_acting;
+        if (isCurrent)
+            m_monitor.noteHeartbeat(now);
+        const bool confirmed = isCurrent && isStandby();
+        if (body.term == m_state.term || confirmed)
+            send(from.instance, heartbeat_reply{m_shard, body.term, body.sequence, confirmed}, actions);
+        return body.term > m_state.term || body.nextOffset > m_nextOffset;
+    }
+
+    bool handle(const incarnation_id &from, const heartbeat_reply &body, instant, action_list &)
+    {
+        const bool isCurrent = isLeader() && body.term == m_state.term;
+        if (isCurrent && body.confirmed && from == m_state.standby)
+            m_engine.right().confirmByStandby(body.sequence);
+        return false;
+    }
+
+    bool handle(const incarnation_id &from, const probe_request &body, instant now,
+                action_list &actions)
+    {
+        const bool alive = isLeader() || m_monitor.hears(now);
+        if (body.term == m_state.term)
+            send(from.instance, probe_reply{m_shard, body.term, alive}, actions);
+        return body.term > m_state.term;
+    }
+
+    bool handle(const incarnation_id &, const probe_reply &body, instant now, action_list &)
+    {
+        if (body.term == m_state.term && body.alive)
+            m_monitor.noteAlive(now);
+        return false;
+    }
+
+    bool handle(const incarnation_id &from, const predecessor_query &body, instant,
+                action_list &actions)
+    {
+        // A leader that handed its right on cannot speak for the one that acts in its place.
+        if (m_stopping)
+            return false;
+        if (body.term > m_state.term && body.term > m_termFloor) {
+            m_termFloor = body.term;
+            m_acting = false;
+            m_engine.end();
+        }
+        send(from.instance, predecessor_statement{m_shard, body.term}, actions);
+        return body.term > m_state.term;
+    }
+
+    bool handle(const incarnation_id &from, const predecessor_statement &body, instant now,
+                action_list &)
+    {
+        if (isLeader() && body.term == m_state.term)
+            m_engine.fence().addStatement(from, now);
+        return false;
+    }
+
+    bool handle(const incarnation_id &from, const handover &body, instant now, action_list &actions)
+    {
+        if (body.term != m_state.term || from != m_state.leader)
+            return body.term > m_state.term;
+        if (!m_acting && !isStandby())
+            return false;
+        send(from.instance, handover_reply{m_shard, body.term}, actions);
+        if (m_acting)
+            return false;
+        m_acting = true;
+        m_engine.takeOver(m_state, body.sequenceFloor, now);
+        m_engine.fence().addStatement(from, now);
+        proposeClaim(now, actions);
+        m_engine.reconcile(m_state, now, actions);
+        return false;
+    }
+
+    bool handle(const incarnation_id &from, const handover_reply &body, instant, action_list &)
+    {
+        if (m_handover && m_handover->term == body.term && from == m_state.standby)
+            m_handover.reset();
+        return false;
+    }
+
+    void repeatHandover(instant now, action_list &actions)
+    {
+        if (m_handover && now - m_stopAt < HANDOVER_LIMIT)
+            send(m_state.standby.instance, *m_handover, actions);
+    }
+
+    void lead(instant now, action_list &actions)
+    {
+        if (now >= m_nextHeartbeat) {
+            m_nextHeartbeat = now + m_settings.heartbeatInterval;
+            sendHeartbeats(now, actions);
+            for (const auto &instance : m_engine.fence().pending())
+                send(instance, predecessor_query{m_shard, m_state.term}, actions);
+        }
+        replaceStandby(now, actions);
+        requestCheckpoint(now, actions);
+        m_engine.tick(m_state, m_random, m_records, now, actions);
+    }
+
+    void sendHeartbeats(instant now, action_list &actions)
+    {
+        const heartbeat message{m_shard, m_state.term, ++m_heartbeatSequence, m_nextOffset};
+        m_engine.right().noteHeartbeat(message.sequence, now);
+        if (!m_state.standby.empty())
+            send(m_state.standby.instance, message, actions);
+        std::size_t watchers = 0;
+        for (const auto &view : m_ranking.all()) {
+            if (view.id == m_self.instance || view.id == m_state.standby.instance)
+                continue;
+            if (watchers++ == MAX_WATCHERS)
+                break;
+            send(view.id, message, actions);
+        }
+    }
+
+    bool isHeard(const instance_id &id, instant now) const
+    {
+        const auto heard = m_heardAt.find(id);
+        return heard != m_heardAt.end() && now - heard->second < m_settings.silenceLimit();
+    }
+
+    void replaceStandby(instant now, action_list &actions)
+    {
+        const auto *listed = m_ranking.find(m_state.standby.instance);
+        const bool leaving = listed && listed->leaving;
+        const bool fresh = now - m_termStart < m_settings.silenceLimit() + m_settings.claimStagger;
+        const bool wanted = m_acting || m_state.standby.empty() || leaving
+                || (!fresh && !isHeard(m_state.standby.instance, now));
+        if (wanted && !m_records.has<claim_record>())
+            proposeClaim(now, actions);
+    }
+
+    /// Claims the shard for this instance with a standby that was heard recently.
+    void proposeClaim(instant now, action_list &actions)
+    {
+        const auto isCandidate = [&](const instance_id &id) { return isHeard(id, now); };
+        const auto *standby = m_ranking.pickStandby(m_self.instance, isCandidate);
+        const bool isReplacement = isLeader() && !m_acting;
+        if (isReplacement && !standby)
+            return;
+        claim_record body{m_shard, m_state.term, m_self, {}};
+        if (standby)
+            body.standby = incarnationOf(standby->id);
+        if (isReplacement && body.standby == m_state.standby)
+            return;
+        m_records.add({newRecordId(m_random), m_self.instance, std::move(body)}, now, actions);
+    }
+
+    incarnation_id incarnationOf(const instance_id &id) const
+    {
+        const auto found = m_incarnations.find(id);
+        return found == m_incarnations.end() ? incarnation_id{} : incarnation_id{id, found->second};
+    }
+
+    void requestCheckpoint(instant now, action_list &actions)
+    {
+        if (now < m_nextCheckpoint)
+            return;
+        m_nextCheckpoint = now + m_settings.checkpointInterval;
+        actions.wantsCheckpoint = true;
+    }
+
+    void watch(instant now, action_list &actions)
+    {
+        if (!m_known)
+            return;
+        const auto *self = m_ranking.find(m_self.instance);
+        if (!self || self->leaving)
+            return;
+        if (m_monitor.hears(now)) {
+            m_records.drop<claim_record>();
+            return;
+        }
+        if (m_records.has<claim_record>())
+            return;
+        const auto rank = isStandby() ? 0 : m_ranking.rankOf(m_self.instance) + 1;
+        switch (m_monitor.decide(rank, now)) {
+        case standby_monitor::decision::Wait:
+            return;
+        case standby_monitor::decision::Probe:
+            if (m_state.term != 0)
+                probe(actions);
+            return;
+        case standby_monitor::decision::Claim:
+            proposeClaim(now, actions);
+        }
+    }
+
+    void probe(action_list &actions)
+    {
+        for (const auto &view : m_ranking.all()) {
+            if (view.id != m_self.instance)
+                send(view.id, probe_request{m_shard, m_state.term}, actions);
+        }
+    }
+
+    template <class message_type>
+    static void send(const instance_id &to, const message_type &message, action_list &actions)
+    {
+        actions.peers.push_back({to, message});
+    }
+
+    friend class shard_controller;
+
+    bool m_known = false;
+    bool m_acting = false;
+    bool m_stopping = false;
+    std::optional<handover> m_handover;
+    instant m_stopAt{};
+    instant m_termStart{};
+    instant m_nextHeartbeat{};
+    instant m_nextCheckpoint{};
+    std::uint64_t m_heartbeatSequence = 0;
+    log_offset m_nextOffset = 0;
+    std::map<instance_id, instant> m_heardAt;
+    std::map<instance_id, std::uint64_t> m_incarnations;
+};
+
+shard_controller::shard_controller(shard_id shard, incarnation_id self,
+                                   const coordination_settings &settings,
+                                   std::unique_ptr<i_assignment_policy> policy,
+                                   std::uint64_t randomSeed)
+    : m_impl(std::make_unique<implementation>(std::move(shard), std::move(self), settings,
+                                              std::move(policy), randomSeed))
+{
+}
+
+shard_controller::~shard_controller() = default;
+
+void shard_controller::setInstances(std::vector<instance_view> instances)
+{
+    m_impl->m_ranking.setInstances(std::move(instances));
+}
+
+void shard_controller::setTargets(std::vector<listed_target> targets, instant now)
+{
+    m_impl->m_engine.setTargets(std::move(targets), now);
+}
+
+void shard_controller::setSlots(std::vector<slot_index> slots)
+{
+    m_impl->m_slots = slots;
+    m_impl->m_engine.setSlots(std::move(slots));
+}
+
+void shard_controller::setPolicy(std::unique_ptr<i_assignment_policy> policy)
+{
+    m_impl->m_engine.setPolicy(std::move(policy));
+}
+
+void shard_controller::setLoad(std::map<slot_index, double> load)
+{
+    m_impl->m_engine.setLoad(std::move(load));
+}
+
+void shard_controller::onRecord(const ownership_record &record, const shard_state &state, instant now,
+                                action_list &actions)
+{
+    m_impl->onRecord(record, state, now, actions);
+}
+
+void shard_controller::onState(const shard_state &state, instant now)
+{
+    m_impl->adoptState(state, now);
+}
+
+void shard_controller::onLogRead(instant readStart, log_offset nextOffset)
+{
+    m_impl->onLogRead(readStart, nextOffset);
+}
+
+bool shard_controller::onMessage(const incarnation_id &from, const coordination_message &message,
+                                 instant now, action_list &actions)
+{
+    m_impl->noteSender(from, now);
+    return m_impl->onMessage(from, message, now, actions);
+}
+
+void shard_controller::onTargetReply(const target_id &from, std::uint64_t sequence,
+                                     const control_reply &reply, instant now, action_list &actions)
+{
+    if (m_impl->isLeader())
+        m_impl->m_engine.onTargetReply(from, sequence, reply, m_impl->m_state, now, actions);
+}
+
+void shard_controller::onTargetFailure(const target_id &from, std::uint64_t sequence)
+{
+    m_impl->m_engine.onTargetFailure(from, sequence);
+}
+
+void shard_controller::tick(instant now, action_list &actions)
+{
+    m_impl->tick(now, actions);
+}
+
+void shard_controller::beginStop(instant now, action_list &actions)
+{
+    m_impl->beginStop(now, actions);
+}
+
+bool shard_controller::isStopped(instant now) const
+{
+    return m_impl->isStopped(now);
+}
+
+void shard_controller::confirmEarlierLeadersLost(instant now, action_list &actions)
+{
+    m_impl->confirmEarlierLeadersLost(now, actions);
+}
+
+shard_role shard_controller::role() const
+{
+    if (m_impl->isLeader())
+        return shard_role::Leader;
+    return m_impl->isStandby() ? shard_role::Standby : shard_role::Observer;
+}
+
+bool shard_controller::leads(instant now) const
+{
+    return m_impl->isLeader() && m_impl->m_engine.right().isValid(now);
+}
+
+bool shard_controller::acceptsCopyFrom(const incarnation_id &from, term_number term) const
+{
+    return m_impl->isStandby() && m_impl->m_state.term == term && m_impl->m_state.leader == from;
+}
+
+bool shard_controller::isServed(slot_index slot) const
+{
+    return m_impl->isLeader() && m_impl->m_engine.isServed(slot, m_impl->m_state);
+}
+
+term_number shard_controller::term() const
+{
+    return m_impl->m_state.term;
+}
+
+const shard_state &shard_controller::state() const
+{
+    return m_impl->m_state;
+}
+
+shard_status shard_controller::status(instant now) const
+{
+    return m_impl->status(now);
+}
+
+} // namespace clementinebeam
