Serve requests end to end through separate processes

Cause: nothing ran yet; the whole path has to exist before its parts can be judged. Ruled out: libraries' blocking connect on a request's thread (10 s without a limit), so channels open connections ahead on threads of their own; a wait for the log on each order, so the ledger is a pair's.

--- /dev/null
+++ b/include/clementinebeam/configuration/daemonsettings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "clementinebeam/configuration/settingsproblem.h"
+#include "clementinebeam/coordination/coordinationtypes.h"
+#include "clementinebeam/http/httptypes.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace clementinebeam {
+
+/// A department's right to change the configuration.
+struct department_settings {
+    std::string name;
+    std::string token;
+    std::vector<std::string> services; ///< Services that it may patch; "*" for all.
+
+    /// @param service a service.
+    /// @return whether the department may change it.
+    bool mayChange(const std::string &service) const;
+};
+
+/// Settings of one daemon process, read once at start.
+struct daemon_settings {
+    instance_id instance;
+    std::string dataCentre;
+    std::vector<std::string> dataCentres;
+    network_address callerListener;
+    network_address operatorListener;
+    network_address peerListener;
+    network_address platformAddress;
+    std::string peerKey;
+    std::string certificateFile;
+    std::vector<department_settings> departments;
+    std::size_t callerThreads = 64;
+    std::chrono::milliseconds logPollInterval{100};
+    std::chrono::milliseconds listPollInterval{500};
+    std::chrono::milliseconds defaultDeadline{2000};
+    std::chrono::milliseconds maxDeadline{30000};
+    std::chrono::milliseconds requestIdLife{600000};
+    std::chrono::milliseconds clockSkewLimit{2000};
+    std::chrono::milliseconds stopLimit{5000};
+    std::size_t connectionsPerTarget = 4;
+    coordination_settings coordination;
+};
+
+/// @param text JSON with comments.
+/// @return the settings, or every problem found.
+std::variant<daemon_settings, settings_problems> parseDaemonSettings(const std::string &text);
+
+} // namespace clementinebeam
--- /dev/null
+++ b/include/clementinebeam/http/httpconnection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "clementinebeam/http/httptypes.h"
+#include "clementinebeam/kernel/bootclock.h"
+#include "clementinebeam/kernel/result.h"
+
+#include <memory>
+
+struct mg_connection;
+
+namespace clementinebeam {
+
+/// One client connection; carries one exchange at a time.
+class http_connection
+{
+public:
+    http_connection() = default;
+    ~http_connection();
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+
+    /// Opens the connection. May block for 10 s if the address does not answer.
+    /// @param address the server.
+    /// @return TargetUnreachable if it cannot be opened.
+    std::error_code open(const network_address &address);
+
+    /// Sends a request and reads the whole answer. The connection is closed after any error.
+    /// @param request the request.
+    /// @param deadline when waiting for the first byte of the answer ends.
+    /// @return the answer; TargetUnreachable if no byte was sent, else ConnectionLost,
+    ///         AnswerIncomplete, or DeadlineExceeded.
+    result<http_response> exchange(const http_request &request, instant deadline);
+
+    void close();
+    bool isOpen() const { return m_connection != nullptr; }
+
+private:
+    result<http_response> readResponse(instant deadline);
+
+    mg_connection *m_connection = nullptr;
+    network_address m_address;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/include/clementinebeam/kernel/binarycodec.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "clementinebeam/kernel/result.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <exception>
+#include <sstream>
+#include <string>
+
+namespace clementinebeam {
+
+/// @param value any type that cereal can serialize.
+/// @return its portable binary form.
+template <class value_type>
+std::string encodeBinary(const value_type &value)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(value);
+    }
+    return stream.str();
+}
+
+/// @param bytes what encodeBinary() returned for the same type.
+/// @return the value, or BadMessage.
+template <class value_type>
+result<value_type> decodeBinary(const std::string &bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        cereal::PortableBinaryInputArchive archive(stream);
+        value_type value;
+        archive(value);
+        return value;
+    } catch (const std::exception &) {
+        return make_error_code(error_kind::BadMessage);
+    }
+}
+
+} // namespace clementinebeam
--- a/include/clementinebeam/kernel/serviceregistry.h
+++ b/include/clementinebeam/kernel/serviceregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <type_traits>
 #include <typeindex>
 #include <unordered_map>
 
@@ -15,7 +16,8 @@
     template <class interface_type>
     void provide(std::shared_ptr<interface_type> service)
     {
-        m_services[typeid(interface_type)] = std::move(service);
+        using stored_type = std::remove_const_t<interface_type>;
+        m_services[typeid(interface_type)] = std::const_pointer_cast<stored_type>(std::move(service));
     }
 
     /// @return the implementation of an interface, or null if no module provides it.
--- a/include/clementinebeam/ownership/ownershiptypes.h
+++ b/include/clementinebeam/ownership/ownershiptypes.h
@@ -105,6 +105,7 @@
 struct shard_state {
     shard_id shard;
     term_number term = 0;
+    term_number previousTerm = 0; ///< 0 in the shard's first term.
     incarnation_id leader;
     incarnation_id standby;
     std::vector<earlier_leadership> earlier; ///< Since the last settled record, oldest first.
@@ -114,7 +115,7 @@
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(shard, term, leader, standby, earlier, slots, checkpointOffset);
+        archive(shard, term, previousTerm, leader, standby, earlier, slots, checkpointOffset);
     }
 };
 
--- /dev/null
+++ b/include/clementinebeam/peering/peermessages.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "clementinebeam/coordination/coordinationtypes.h"
+#include "clementinebeam/ledger/ledgertypes.h"
+
+#include <variant>
+#include <vector>
+
+namespace clementinebeam {
+
+/// Targets crashed or lost a connection while they ran requests with this fingerprint.
+struct crash_report {
+    service_name service;
+    std::uint64_t fingerprint = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service, fingerprint);
+    }
+};
+
+struct slot_load {
+    slot_index slot = 0;
+    double seconds = 0.0; ///< Service time, weighted by kind.
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(slot, seconds);
+    }
+};
+
+/// Service time that one instance measured since its last report.
+struct load_report {
+    shard_id shard;
+    std::vector<slot_load> loads;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(shard, loads);
+    }
+};
+
+/// Asks another instance for its view of the streams.
+struct state_request {
+    bool withState = false; ///< False asks for positions and the version only.
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(withState);
+    }
+};
+
+struct state_reply {
+    bool isReady = false;
+    log_offset configurationOffset = 0; ///< Next offset.
+    log_offset ownershipOffset = 0;     ///< Next offset.
+    std::uint64_t version = 0;
+    std::string document;
+    std::vector<shard_state> shards;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(isReady, configurationOffset, ownershipOffset, version, document, shards);
+    }
+};
+
+/// Tells that the streams have grown.
+struct stream_notice {
+    log_offset configurationOffset = 0; ///< Next offset.
+    log_offset ownershipOffset = 0;     ///< Next offset.
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(configurationOffset, ownershipOffset);
+    }
+};
+
+using peer_message = std::variant<coordination_message, crash_report, load_report, stream_notice,
+                                  state_request, state_reply, admit_request, admit_reply,
+                                  outcome_report, outcome_reply, ledger_copy, ledger_copy_reply>;
+
+/// A message with its sender.
+struct peer_envelope {
+    incarnation_id sender;
+    std::uint64_t correlation = 0; ///< Above 0 for a request and its reply.
+    bool isReply = false;
+    peer_message body;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(sender, correlation, isReply, body);
+    }
+};
+
+} // namespace clementinebeam
--- a/include/clementinebeam/targets/controltypes.h
+++ b/include/clementinebeam/targets/controltypes.h
@@ -43,6 +43,7 @@
     bool draining = false;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    bool isUnreachable = false; ///< The grants are kept by a proxy and the target did not answer.
 };
 
 } // namespace clementinebeam
--- /dev/null
+++ b/src/configuration/internal/configurationreplay.cpp
@@ -0,0 +1,175 @@
+#include "clementinebeam/configuration/configurationreplay.h"
+
+#include "internal/settingsreader.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+void collectPaths(const nlohmann::json &patch, const std::string &path,
+                  std::vector<std::string> &paths)
+{
+    if (!patch.is_object() || patch.empty()) {
+        paths.push_back(path);
+        return;
+    }
+    for (const auto &[name, value] : patch.items())
+        collectPaths(value, path.empty() ? name : path + '.' + name, paths);
+}
+
+/// Slots and shards determine where a key's state lives, so they cannot change afterwards.
+void checkFixedFields(const routing_configuration &before, const routing_configuration &after,
+                      settings_problems &problems)
+{
+    for (const auto &[name, service] : after.services) {
+        const auto old = before.services.find(name);
+        if (old == before.services.end())
+            continue;
+        const auto check = [&](const char *field, std::uint32_t was, std::uint32_t is) {
+            if (was != is)
+                problems.push_back({"services." + name + '.' + field,
+                                    "the unchanged value " + std::to_string(was),
+                                    std::to_string(is)});
+        };
+        check("slots", old->second.slots, service.slots);
+        check("shards", old->second.shards, service.shards);
+    }
+}
+
+} // namespace
+
+std::vector<std::string> touchedPaths(const nlohmann::json &patch)
+{
+    std::vector<std::string> paths;
+    collectPaths(patch, "", paths);
+    return paths;
+}
+
+std::variant<configuration_snapshot, settings_problems>
+applyPatch(const configuration_snapshot &base, const nlohmann::json &patch)
+{
+    if (!patch.is_object())
+        return settings_problems{{"(patch)", "an object", describe(patch)}};
+    configuration_snapshot next;
+    next.version = base.version + 1;
+    next.document = base.document;
+    next.document.merge_patch(patch);
+    auto parsed = parseRoutingConfiguration(next.document);
+    if (auto *problems = std::get_if<settings_problems>(&parsed))
+        return std::move(*problems);
+    next.routing = std::get<routing_configuration>(std::move(parsed));
+    settings_problems problems;
+    checkFixedFields(base.routing, next.routing, problems);
+    if (!problems.empty())
+        return problems;
+    return next;
+}
+
+void configuration_replay::restart(log_offset firstOffset)
+{
+    *this = configuration_replay();
+    m_firstOffset = firstOffset;
+    m_nextOffset = firstOffset;
+    m_known = firstOffset == 0;
+}
+
+void configuration_replay::apply(log_offset offset, const configuration_record &record)
+{
+    m_nextOffset = offset + 1;
+    if (const auto *patch = std::get_if<patch_record>(&record)) {
+        if (m_known)
+            applyPatch(offset, *patch);
+        else
+            m_deferred.emplace_back(offset, *patch);
+        return;
+    }
+    const auto &checkpoint = std::get<configuration_checkpoint>(record);
+    if (!m_known && checkpoint.asOf + 1 >= m_firstOffset)
+        load(checkpoint);
+    if (m_known)
+        m_checkpointOffset = offset;
+}
+
+void configuration_replay::load(const configuration_checkpoint &checkpoint)
+{
+    const auto document = nlohmann::json::parse(checkpoint.document, nullptr, false);
+    if (document.is_discarded())
+        return;
+    auto parsed = parseRoutingConfiguration(document);
+    if (!std::holds_alternative<routing_configuration>(parsed))
+        return;
+    configuration_snapshot snapshot{checkpoint.version, document,
+                                    std::get<routing_configuration>(std::move(parsed))};
+    m_current = std::make_shared<configuration_snapshot>(std::move(snapshot));
+    m_known = true;
+    for (const auto &[offset, patch] : std::exchange(m_deferred, {})) {
+        if (offset > checkpoint.asOf)
+            applyPatch(offset, patch);
+    }
+}
+
+void configuration_replay::applyPatch(log_offset offset, const patch_record &record)
+{
+    m_history.push_back(judge(offset, record));
+    if (m_history.size() > MAX_HISTORY)
+        m_history.pop_front();
+}
+
+patch_result configuration_replay::judge(log_offset offset, const patch_record &record)
+{
+    patch_result outcome;
+    outcome.id = record.id;
+    outcome.offset = offset;
+    outcome.baseVersion = record.baseVersion;
+    outcome.version = m_current->version;
+    outcome.department = record.department;
+    outcome.author = record.author;
+    outcome.submittedAt = record.submittedAt;
+    const auto patch = nlohmann::json::parse(record.patch, nullptr, false);
+    if (patch.is_discarded()) {
+        outcome.problems = {{"(patch)", "JSON", "a syntax error"}};
+        return outcome;
+    }
+    outcome.touchedPaths = touchedPaths(patch);
+    if (record.baseVersion != m_current->version) {
+        outcome.verdict = patch_verdict::Conflict;
+        return outcome;
+    }
+    auto next = clementinebeam::applyPatch(*m_current, patch);
+    if (auto *problems = std::get_if<settings_problems>(&next)) {
+        outcome.problems = std::move(*problems);
+        return outcome;
+    }
+    m_current = std::make_shared<configuration_snapshot>(
+            std::get<configuration_snapshot>(std::move(next)));
+    outcome.verdict = patch_verdict::Accepted;
+    outcome.version = m_current->version;
+    return outcome;
+}
+
+const patch_result *configuration_replay::find(const record_id &id) const
+{
+    // A record may be in the log twice after a lost answer; the first copy decides.
+    const auto found = std::find_if(m_history.begin(), m_history.end(),
+                                    [&](const patch_result &entry) { return entry.id == id; });
+    return found == m_history.end() ? nullptr : &*found;
+}
+
+configuration_checkpoint configuration_replay::checkpoint() const
+{
+    configuration_checkpoint record;
+    record.asOf = m_nextOffset == 0 ? 0 : m_nextOffset - 1;
+    record.version = m_current->version;
+    record.document = m_current->document.dump();
+    return record;
+}
+
+void configuration_replay::adopt(const configuration_checkpoint &checkpoint)
+{
+    restart(checkpoint.asOf + 1);
+    load(checkpoint);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/controlplane/internal/ledgerkeeper.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "clementinebeam/configuration/daemonsettings.h"
+#include "clementinebeam/coordination/shardcontroller.h"
+#include "clementinebeam/ledger/requestledger.h"
+
+namespace clementinebeam {
+
+/// Keeps a shard's ledger in step with this instance's role.
+///
+/// A ledger stays valid while its holder goes on as leader, or turns from a standby into the leader.
+/// In all other cases it starts anew, and ids created before that count as unknown.
+class ledger_keeper
+{
+public:
+    explicit ledger_keeper(const daemon_settings &settings);
+
+    /// Takes the controller's newest role and term.
+    /// @param controller the shard's controller.
+    /// @param wall the current wall-clock time.
+    void update(const shard_controller &controller, wall_time wall);
+
+    /// Takes a copy from the leader.
+    /// @param copy the copy.
+    /// @param now the current time.
+    void store(const ledger_copy &copy, instant now);
+
+    /// @return whether requests may be admitted in the present term.
+    bool mayAdmit(const shard_controller &controller) const;
+
+    /// @return whether the standby has to be sent all entries.
+    bool needsSync() const { return m_role == shard_role::Leader && !m_isSynced; }
+    void setSynced(bool synced) { m_isSynced = synced; }
+
+    request_ledger &ledger() { return m_ledger; }
+    const request_ledger &ledger() const { return m_ledger; }
+
+private:
+    std::chrono::milliseconds m_clockSkewLimit;
+    request_ledger m_ledger;
+    shard_role m_role = shard_role::Observer;
+    term_number m_term = 0;
+    bool m_isSynced = false;
+    bool m_needsSettled = false; ///< An earlier pair may still be admitting requests.
+};
+
+} // namespace clementinebeam
--- a/src/coordination/internal/leaderengine.cpp
+++ b/src/coordination/internal/leaderengine.cpp
@@ -210,7 +210,8 @@
 void leader_engine::propose(const shard_state &state, random_source &random, proposals &records,
                             instant now, action_list &actions)
 {
-    if (m_planner.empty() || records.has<move_record>())
+    // A claim that is under way would make the moves void.
+    if (m_planner.empty() || records.has<move_record>() || records.has<claim_record>())
         return;
     const auto isPrepared = [this](const target_id &target, slot_index slot) {
         const auto *session = findSession(target);
--- a/src/coordination/internal/targetsession.cpp
+++ b/src/coordination/internal/targetsession.cpp
@@ -41,7 +41,8 @@
     m_contacted = true;
     m_nonce = reply.nonce;
     m_draining = reply.draining;
-    m_lastReply = now;
+    if (!reply.isUnreachable)
+        m_lastReply = now;
     m_unconfirmed.clear();
     m_held.clear();
     for (const auto &grant : reply.held)
--- /dev/null
+++ b/src/observability/internal/audittrail.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "clementinebeam/kernel/orderedmutex.h"
+#include "clementinebeam/observability/iaudittrail.h"
+
+#include <deque>
+
+namespace clementinebeam {
+
+/// Keeps the newest changes in memory; the streams of the log are the lasting record.
+class audit_trail : public i_audit_trail
+{
+public:
+    void add(audit_entry entry) override;
+    std::vector<audit_entry> newest(std::size_t limit) const override;
+
+private:
+    static constexpr std::size_t MAX_ENTRIES = 2000;
+
+    mutable ordered_mutex m_mutex{lock_rank::AuditTable};
+    std::deque<audit_entry> m_entries;
+};
+
+} // namespace clementinebeam
--- a/src/ownership/internal/ownershipreplay.cpp
+++ b/src/ownership/internal/ownershipreplay.cpp
@@ -102,6 +102,7 @@
         state.earlier.push_back({state.leader, state.standby, byStandby});
     }
     state.shard = claim.shard;
+    state.previousTerm = claim.previousTerm;
     // Offset 0 is a valid position, so terms and epochs count from 1.
     state.term = offset + 1;
     state.leader = claim.leader;
--- /dev/null
+++ b/src/platform/internal/httpinstancelist.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "clementinebeam/http/httpchannel.h"
+#include "clementinebeam/platform/iinstancelist.h"
+
+namespace clementinebeam {
+
+/// Instance list over HTTP with JSON.
+class http_instance_list : public i_instance_list
+{
+public:
+    explicit http_instance_list(const network_address &address);
+
+    result<std::vector<listing>> fetch(std::chrono::milliseconds timeout) override;
+
+private:
+    http_channel m_channel;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/routing/internal/requestrouter.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "clementinebeam/controlplane/icontrolplane.h"
+#include "clementinebeam/controlplane/routingview.h"
+#include "clementinebeam/kernel/randomsource.h"
+#include "clementinebeam/observability/imetrics.h"
+#include "clementinebeam/routing/iquarantine.h"
+#include "clementinebeam/targets/itargetclient.h"
+#include "internal/callerrequest.h"
+#include "internal/ledgerclient.h"
+#include "internal/retrybudget.h"
+#include "internal/targetqueue.h"
+
+#include <map>
+
+namespace clementinebeam {
+
+/// Services that the router works with.
+struct router_services {
+    std::shared_ptr<i_routing_table> routes;
+    std::shared_ptr<i_control_plane> plane;
+    std::shared_ptr<i_target_client> targets;
+    std::shared_ptr<i_peer_transport> peers;
+    std::shared_ptr<i_quarantine> quarantine;
+    std::shared_ptr<i_metrics> metrics;
+};
+
+/// What a caller is told.
+struct routed_answer {
+    error_kind reason = error_kind::None; ///< None if the owner answered.
+    outcome result = outcome::Answered;
+    bool isRecorded = false; ///< The answer of an earlier copy of the request.
+    target_id owner;
+    epoch_number epoch = 0;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// Brings a request to the one owner of its key, and a non-idempotent one at most once.
+class request_router
+{
+public:
+    request_router(const incarnation_id &self, router_services services);
+
+    void start() { m_ledger.start(); }
+    void stop() { m_ledger.stop(); }
+
+    /// @param request the request.
+    /// @return what to tell the caller, at the deadline at the latest.
+    routed_answer route(const caller_request &request);
+
+private:
+    /// A request with all that the configuration says about it.
+    struct routed_request {
+        const caller_request &caller;
+        const service_settings &service;
+        const kind_settings &kind;
+        shard_id shard;
+        slot_index slot = 0;
+        std::uint64_t fingerprint = 0;
+        bool needsLedger = false;
+    };
+
+    /// Right to send a request to an owner once.
+    struct send_permit {
+        target_id owner;
+        epoch_number epoch = 0;
+        term_number term = 0;
+        std::uint32_t attempt = 0;
+    };
+
+    routed_answer routeIdempotent(const routed_request &request);
+    routed_answer routeOnce(const routed_request &request);
+    std::optional<send_permit> findPermit(const routed_request &request, error_kind &reason);
+    result<admit_reply> askLeader(const routed_request &request, std::uint64_t token);
+    target_answer sendOnce(const routed_request &request, const send_permit &permit);
+    void noteAnswer(const routed_request &request, const target_answer &answer,
+                    std::chrono::microseconds duration);
+    void reportOutcome(const routed_request &request, const send_permit &permit,
+                       const target_answer &answer);
+    std::shared_ptr<target_queue> queueOf(const target_id &target, const service_settings &service);
+    std::uint64_t newToken();
+    routed_answer finish(const caller_request &request, routed_answer answer);
+
+    incarnation_id m_self;
+    router_services m_services;
+    ledger_client m_ledger;
+    retry_budget m_retries;
+    ordered_mutex m_queueMutex{lock_rank::RoutingTable};
+    std::map<target_id, std::shared_ptr<target_queue>> m_queues;
+    std::mutex m_randomMutex;
+    random_source m_random;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/routing/internal/targetqueue.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "clementinebeam/kernel/bootclock.h"
+#include "clementinebeam/kernel/orderedmutex.h"
+#include "clementinebeam/kernel/result.h"
+#include "internal/concurrencylimit.h"
+
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <string>
+
+namespace clementinebeam {
+
+/// Identifies requests that share one queue share: one member's requests of one kind.
+struct flow_id {
+    std::string member;
+    std::string kind;
+
+    auto operator<=>(const flow_id &) const = default;
+};
+
+/// Admits requests to one target within its concurrency limit.
+///
+/// Waiting requests are served by weighted fair queueing over flows. A request that would not be
+/// served before its deadline is refused at once, and one whose deadline passes leaves the queue.
+class target_queue
+{
+public:
+    /// @param maxConcurrency most requests in flight.
+    /// @param maxWaiting most requests waiting.
+    target_queue(std::uint32_t maxConcurrency, std::uint32_t maxWaiting);
+
+    void setLimits(std::uint32_t maxConcurrency, std::uint32_t maxWaiting);
+
+    /// Waits for a place.
+    /// @param flow the request's flow.
+    /// @param share the flow's share; above 0.
+    /// @param deadline when to give up.
+    /// @return Overloaded if the request was refused or gave up; else release() has to follow.
+    std::error_code acquire(const flow_id &flow, double share, instant deadline);
+
+    /// Frees a place after an answer.
+    /// @param duration the service time.
+    void releaseAnswered(std::chrono::microseconds duration);
+
+    /// Frees a place after the target shed the request or did not answer.
+    void releaseOverloaded();
+
+    /// Frees a place without a conclusion about the target.
+    void release();
+
+private:
+    struct waiter {
+        flow_id flow;
+        double finish = 0.0; ///< Virtual finish time.
+        bool admitted = false;
+        bool evicted = false;
+        std::condition_variable_any wake;
+    };
+
+    using waiter_list = std::list<waiter *>;
+
+    void admitNext();
+    void removeWaiter(waiter *item);
+    bool evictFor(const flow_id &flow);
+    std::size_t waitingOf(const flow_id &flow) const;
+    std::chrono::microseconds expectedWait() const;
+
+    ordered_mutex m_mutex{lock_rank::RoutingTable};
+    concurrency_limit m_limit;
+    std::uint32_t m_maxWaiting;
+    std::uint32_t m_running = 0;
+    double m_virtualTime = 0.0;
+    std::map<flow_id, double> m_lastFinish;
+    std::map<flow_id, std::size_t> m_waitingByFlow;
+    waiter_list m_waiting;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/standins/platform/main.cpp
@@ -0,0 +1,33 @@
+#include "platformserver.h"
+
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(port, 9000, "port to listen on");
+DEFINE_int64(retention_ms, 3600000, "how long records are kept");
+DEFINE_int64(list_lag_ms, 500, "delay until a change shows in the instance list");
+
+int main(int argc, char **argv)
+{
+    using namespace clementinebeam;
+    gflags::SetUsageMessage("stand-in for the platform: log streams and instance list");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    platform_server server({FLAGS_address, static_cast<std::uint16_t>(FLAGS_port)},
+                           std::chrono::milliseconds(FLAGS_retention_ms),
+                           std::chrono::milliseconds(FLAGS_list_lag_ms));
+    if (const auto error = server.start()) {
+        std::cerr << "event=start_failed error=\"" << error.message() << "\"\n";
+        return 1;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    server.stop();
+    return 0;
+}
--- /dev/null
+++ b/src/standins/target/targetserver.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "clementinebeam/http/httpserver.h"
+#include "historywriter.h"
+#include "leaseholder.h"
+#include "workerslots.h"
+
+#include <atomic>
+#include <memory>
+#include <random>
+
+namespace clementinebeam {
+
+/// How a target stand-in behaves.
+struct target_behaviour {
+    target_id id;
+    network_address address;
+    bool checksGrants = true;
+    std::size_t slots = 2;
+    std::size_t maxQueue = 32;
+    std::size_t threads = 64;
+    std::chrono::microseconds serviceTime{2000};
+    std::chrono::milliseconds warmUp{100};
+    double coldFactor = 3.0; ///< Slows the first requests of a slot that was not announced.
+    std::string crashMarker; ///< A request whose body contains it ends the process.
+    std::string historyFile;
+};
+
+/// Model of a target over HTTP: grants, leases, two places, shedding, drain, deadline, cancellation.
+class target_server
+{
+public:
+    target_server(target_behaviour behaviour, std::uint64_t seed);
+
+    std::error_code start() { return m_server.start(); }
+    void stop();
+
+private:
+    struct running_request {
+        std::string exchangeId;
+        slot_index slot = 0;
+        bool cancelled = false;
+    };
+
+    /// Parsed headers of a request.
+    struct request_head {
+        std::string exchangeId;
+        std::string requestId;
+        std::string key;
+        std::string kind;
+        slot_index slot = 0;
+        epoch_number epoch = 0;
+        term_number term = 0;
+        instant deadline{};
+    };
+
+    static request_head parseHead(const http_request &request);
+
+    http_response handle(const http_request &request);
+    http_response handleControl(const http_request &request);
+    http_response handleRequest(const http_request &request);
+    http_response handleCancel(const std::string &exchangeId);
+    http_response handleHealth();
+    http_response handleBehaviour(const http_request &request);
+    error_kind admit(const request_head &head);
+    error_kind execute(const request_head &head, const std::string &body);
+    error_kind commit(const request_head &head);
+    void endRequest(const std::string &exchangeId);
+    bool isCancelled(const std::string &exchangeId);
+    bool isRunning(slot_index slot) const;
+    std::chrono::microseconds drawServiceTime(slot_index slot);
+    void recordOwnership(const std::map<slot_index, epoch_number> &before);
+
+    target_behaviour m_behaviour;
+    history_writer m_history;
+    worker_slots m_slots;
+    std::mutex m_mutex;
+    lease_holder m_leases;
+    std::vector<running_request> m_running;
+    std::map<slot_index, instant> m_grantedAt;
+    std::mt19937_64 m_random;
+    std::atomic<bool> m_draining{false};
+    std::atomic<std::uint64_t> m_executions{0};
+    http_server m_server;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/targets/internal/grantproxy.cpp
@@ -0,0 +1,52 @@
+#include "clementinebeam/targets/grantproxy.h"
+
+namespace clementinebeam {
+
+namespace {
+
+/// The proxy lives as long as the leader's term, so one constant stands for its nonce.
+constexpr std::uint64_t PROXY_NONCE = 1;
+
+} // namespace
+
+grant_proxy::grant_proxy(const target_id &target, const shard_state &state,
+                         std::chrono::milliseconds permitLife, instant now)
+    : m_permitLife(permitLife)
+    , m_createdAt(now)
+{
+    for (slot_index slot = 0; slot < state.slots.size(); ++slot) {
+        const auto &owned = state.slots[slot];
+        if (owned.owner == target || owned.previous == target)
+            m_held[slot] = owned.owner == target ? owned.epoch : 0;
+    }
+}
+
+void grant_proxy::notePermit(slot_index slot, instant now)
+{
+    m_permitEnd[slot] = now + m_permitLife;
+}
+
+control_reply grant_proxy::apply(const control_request &request, const control_reply &health,
+                                 const running_predicate &isRunning, instant now)
+{
+    for (const auto slot : request.revokes) {
+        const auto permit = m_permitEnd.find(slot);
+        const auto permitEnd = permit == m_permitEnd.end() ? m_createdAt + m_permitLife : permit->second;
+        if (now >= permitEnd && !isRunning(slot))
+            m_held.erase(slot);
+    }
+    for (const auto &grant : request.grants)
+        m_held[grant.slot] = grant.epoch;
+    auto reply = health;
+    reply.accepted = true;
+    reply.nonce = PROXY_NONCE;
+    reply.term = request.term;
+    reply.sequence = request.sequence;
+    reply.prepared = request.prepares;
+    reply.held.clear();
+    for (const auto &[slot, epoch] : m_held)
+        reply.held.push_back({slot, epoch});
+    return reply;
+}
+
+} // namespace clementinebeam
