Add a model test in virtual time and mend what it found

Cause: the test drives the real controller, ledger and admission code under loss, delay, pauses, restarts, cuts and log outages. It found: (1) a dead target's lease never counted as lapsed, because each unanswered renewal moved the bound; (2) a withdrawn admission could still be passed on; (3) a leader and its replaced standby could confirm each other in the former term; (4) a restarted target forgets the terms it saw, so contact alone does not settle an earlier leadership; (5) a statement made in one term was used for a later one; (6) a standby that took a handover could have an older view. Ruled out: faults of the model itself (stale callbacks after a restart, reads of a former run).

--- a/cmake/Module.cmake
+++ b/cmake/Module.cmake
@@ -16,3 +16,13 @@
         target_sources(${name} PRIVATE $<TARGET_OBJECTS:${module}>)
     endforeach()
 endfunction()
+
+# Adds one test program; each ctest entry runs one Boost.Test program with fixed seeds.
+function(clementinebeam_test name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;MODULES;DEPENDS;INCLUDES" ${ARGN})
+    clementinebeam_executable(${name} SOURCES ${ARG_SOURCES} MODULES ${ARG_MODULES}
+        DEPENDS ${ARG_DEPENDS} Boost::unit_test_framework)
+    target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_include_directories(${name} PRIVATE ${ARG_INCLUDES})
+    add_test(NAME ${name} COMMAND ${name} --report_level=short --log_level=error)
+endfunction()
--- a/include/clementinebeam/coordination/coordinationtypes.h
+++ b/include/clementinebeam/coordination/coordinationtypes.h
@@ -118,11 +118,12 @@
     shard_id shard;
     term_number term = 0;
     std::uint64_t sequenceFloor = 0; ///< No control message of the leader has a higher sequence.
+    log_offset nextOffset = 0;       ///< The leader's position in the ownership stream.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(shard, term, sequenceFloor);
+        archive(shard, term, sequenceFloor, nextOffset);
     }
 };
 
--- a/include/clementinebeam/ledger/ledgertypes.h
+++ b/include/clementinebeam/ledger/ledgertypes.h
@@ -40,8 +40,8 @@
     std::uint64_t fingerprint = 0; ///< Hash of kind, key and body.
     slot_index slot = 0;
     ledger_state state = ledger_state::Running;
-    std::uint32_t attempt = 1; ///< Counts admissions; reports of earlier ones are ignored.
-    std::uint64_t token = 0; ///< Of the admission; see admit_request.
+    std::uint32_t attempt = 1; ///< Counts admissions, so that copies are stored in order.
+    std::uint64_t token = 0; ///< Of the newest admission; reports of other ones are ignored.
     incarnation_id executor;
     std::int64_t createdAt = 0;   ///< Milliseconds since the Unix epoch, from the request id.
     std::int64_t remainingMs = 0; ///< Time until a running request without report counts as unknown.
@@ -85,14 +85,14 @@
     term_number term = 0;
     epoch_number epoch = 0;
     target_id owner;
-    std::uint32_t attempt = 0;
+    std::uint64_t token = 0; ///< Of the admission that was asked for.
     ledger_state state = ledger_state::Unknown;
     recorded_answer answer;
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(decision, reason, term, epoch, owner, attempt, state, answer);
+        archive(decision, reason, term, epoch, owner, token, state, answer);
     }
 };
 
@@ -101,14 +101,14 @@
     shard_id shard;
     std::string requestId;
     slot_index slot = 0;
-    std::uint32_t attempt = 0;
+    std::uint64_t token = 0; ///< Of the admission that the report is about.
     ledger_state state = ledger_state::Unknown;
     recorded_answer answer;
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(shard, requestId, slot, attempt, state, answer);
+        archive(shard, requestId, slot, token, state, answer);
     }
 };
 
--- a/include/clementinebeam/ledger/requestledger.h
+++ b/include/clementinebeam/ledger/requestledger.h
@@ -44,10 +44,10 @@
     ledger_decision admit(const admit_request &request, const incarnation_id &executor, instant now,
                           wall_time wall);
 
-    /// Takes back an admission that was not passed on to the executor.
-    /// @param requestId the request.
-    /// @param attempt the admission.
-    void withdraw(const std::string &requestId, std::uint32_t attempt);
+    /// @param requestId a request.
+    /// @param token an admission.
+    /// @return whether the request is running under that admission.
+    bool isRunning(const std::string &requestId, std::uint64_t token) const;
 
     /// @param report what became of a request.
     /// @return the changed entry, or nothing if the report is stale or repeated.
--- a/include/clementinebeam/ownership/ownershiptypes.h
+++ b/include/clementinebeam/ownership/ownershiptypes.h
@@ -89,7 +89,11 @@
 };
 
 /// A leadership that ended without proof that its leader stopped renewing leases.
+///
+/// A leader that replaces its standby leaves one too: until it reads its own claim back, it and its
+/// former standby may confirm each other in the former term.
 struct earlier_leadership {
+    term_number term = 0;
     incarnation_id leader;
     incarnation_id standby;
     bool bounded = false; ///< The standby took over, so the right ends after the isolation limit.
@@ -97,7 +101,7 @@
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(leader, standby, bounded);
+        archive(term, leader, standby, bounded);
     }
 };
 
--- a/src/controlplane/internal/admissionservice.cpp
+++ b/src/controlplane/internal/admissionservice.cpp
@@ -29,10 +29,12 @@
 }
 
 admission_service::admission_service(shard_table &shards, std::shared_ptr<i_peer_transport> peers,
-                                     std::shared_ptr<i_metrics> metrics)
+                                     std::shared_ptr<i_metrics> metrics,
+                                     std::shared_ptr<const i_clock> clock)
     : m_shards(shards)
     , m_peers(std::move(peers))
     , m_metrics(std::move(metrics))
+    , m_clock(std::move(clock))
 {
 }
 
@@ -41,7 +43,7 @@
 {
     if (!entry)
         return refusal(error_kind::UnknownService);
-    if (!entry->controller.leads(boot_clock::now()))
+    if (!entry->controller.leads(m_clock->now()))
         return refusal(error_kind::NotLeader);
     const auto &slots = entry->controller.state().slots;
     if (request.slot >= slots.size() || slots[request.slot].owner.empty())
@@ -65,7 +67,7 @@
 void admission_service::admit(const incarnation_id &from, const admit_request &request,
                               peer_responder respond)
 {
-    const auto startedAt = boot_clock::now();
+    const auto startedAt = m_clock->now();
     ledger_copy copy;
     instance_id standby;
     {
@@ -80,11 +82,13 @@
                         .notePermit(request.slot, startedAt);
             return respond(reply);
         }
-        entry->keeper.update(entry->controller, wallNow());
+        entry->keeper.update(entry->controller, m_clock->wall());
         if (!entry->keeper.mayAdmit(entry->controller))
             return respond(refusal(error_kind::LedgerUnavailable));
+        if (!entry->controller.isServed(request.slot))
+            return respond(refusal(error_kind::NoOwner));
         auto &ledger = entry->keeper.ledger();
-        const auto decision = ledger.admit(request, from, startedAt, wallNow());
+        const auto decision = ledger.admit(request, from, startedAt, m_clock->wall());
         if (decision.decision != admission::Run) {
             admit_reply reply = refusal(decision.reason);
             reply.decision = decision.decision;
@@ -94,10 +98,6 @@
             }
             return respond(reply);
         }
-        if (!entry->controller.isServed(request.slot)) {
-            ledger.withdraw(request.requestId, decision.entry->attempt);
-            return respond(refusal(error_kind::NoOwner));
-        }
         copy = {request.shard, entry->controller.term(), {*decision.entry}, 0, false};
         standby = entry->controller.state().standby.instance;
     }
@@ -114,13 +114,14 @@
     {
         const ordered_lock lock(m_shards.mutex());
         auto *entry = m_shards.find(request.shard);
-        if (copied && entry && entry->controller.leads(boot_clock::now()))
+        // The admission may have been reported as not run, or be another one's, by now.
+        const bool holds = copied && entry && entry->controller.leads(m_clock->now())
+                && entry->keeper.ledger().isRunning(recorded.requestId, recorded.token);
+        if (holds)
             reply = permit(*entry, request);
-        if (entry && reply.decision != admission::Run)
-            entry->keeper.ledger().withdraw(recorded.requestId, recorded.attempt);
     }
-    reply.attempt = recorded.attempt;
-    m_metrics->observeAdmission(boot_clock::now() - startedAt);
+    reply.token = recorded.token;
+    m_metrics->observeAdmission(m_clock->now() - startedAt);
     respond(reply);
 }
 
@@ -142,7 +143,7 @@
     {
         const ordered_lock lock(m_shards.mutex());
         auto *entry = m_shards.find(report.shard);
-        if (!entry || !entry->controller.leads(boot_clock::now()))
+        if (!entry || !entry->controller.leads(m_clock->now()))
             return respond(outcome_reply{false});
         auto changed = entry->keeper.ledger().complete(report);
         if (!changed)
@@ -161,8 +162,8 @@
         const ordered_lock lock(m_shards.mutex());
         auto *entry = m_shards.find(copy.shard);
         if (entry && entry->controller.acceptsCopyFrom(from, copy.term)) {
-            entry->keeper.update(entry->controller, wallNow());
-            entry->keeper.store(copy, boot_clock::now());
+            entry->keeper.update(entry->controller, m_clock->wall());
+            entry->keeper.store(from, copy, m_clock->now());
             reply.accepted = true;
         }
     }
@@ -171,7 +172,7 @@
 
 void admission_service::syncStandbys()
 {
-    const auto now = boot_clock::now();
+    const auto now = m_clock->now();
     const ordered_lock lock(m_shards.mutex());
     for (auto &[shard, entry] : m_shards.entries()) {
         const auto &state = entry->controller.state();
--- a/src/controlplane/internal/admissionservice.h
+++ b/src/controlplane/internal/admissionservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/kernel/iclock.h"
 #include "clementinebeam/observability/imetrics.h"
 #include "clementinebeam/peering/ipeertransport.h"
 #include "internal/shardtable.h"
@@ -21,7 +22,7 @@
 {
 public:
     admission_service(shard_table &shards, std::shared_ptr<i_peer_transport> peers,
-                      std::shared_ptr<i_metrics> metrics);
+                      std::shared_ptr<i_metrics> metrics, std::shared_ptr<const i_clock> clock);
 
     /// @param from the instance that wants to send a request.
     /// @param request the request.
@@ -54,6 +55,7 @@
     shard_table &m_shards;
     std::shared_ptr<i_peer_transport> m_peers;
     std::shared_ptr<i_metrics> m_metrics;
+    std::shared_ptr<const i_clock> m_clock;
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -28,7 +28,7 @@
 control_plane::control_plane(const incarnation_id &self, const daemon_settings &settings)
     : m_self(self)
     , m_settings(settings)
-    , m_shards(self, settings)
+    , m_shards(self, settings, makeSystemSeededSource()())
 {
 }
 
@@ -45,7 +45,8 @@
     m_runner->setAppendHandler([this] { wakeReader(); });
     m_reader = std::make_unique<stream_reader>(m_shards, *m_runner, services.log, services.audit,
                                                services.metrics, m_self);
-    m_admissions = std::make_unique<admission_service>(m_shards, services.peers, services.metrics);
+    m_admissions = std::make_unique<admission_service>(m_shards, services.peers, services.metrics,
+                                                        std::make_shared<machine_clock>());
     services.peers->setMessageHandler([this](const incarnation_id &from, const peer_message &message) {
         handleMessage(from, message);
     });
--- a/src/controlplane/internal/shardtable.cpp
+++ b/src/controlplane/internal/shardtable.cpp
@@ -9,16 +9,17 @@
                          std::uint64_t randomSeed)
     : controller(shard, self, settings.coordination,
                  policy_catalogue::instance().create(service.policy, service.limits), randomSeed)
-    , keeper(settings)
+    , keeper(self, settings)
     , checksGrants(service.checksGrants)
     , policy(service.policy)
 {
 }
 
-shard_table::shard_table(incarnation_id self, const daemon_settings &settings)
+shard_table::shard_table(incarnation_id self, const daemon_settings &settings,
+                         std::uint64_t randomSeed)
     : m_self(std::move(self))
     , m_settings(settings)
-    , m_random(makeSystemSeededSource())
+    , m_random(randomSeed)
 {
 }
 
--- a/src/controlplane/internal/shardtable.h
+++ b/src/controlplane/internal/shardtable.h
@@ -32,7 +32,10 @@
 class shard_table
 {
 public:
-    shard_table(incarnation_id self, const daemon_settings &settings);
+    /// @param self this process.
+    /// @param settings the daemon's settings.
+    /// @param randomSeed seed for record ids.
+    shard_table(incarnation_id self, const daemon_settings &settings, std::uint64_t randomSeed);
 
     /// Adds and updates shards after a change of the configuration or the instance list.
     /// @param configuration the configuration in force.
--- a/src/coordination/internal/leaderengine.cpp
+++ b/src/coordination/internal/leaderengine.cpp
@@ -19,7 +19,7 @@
     return slot < state.slots.size() ? state.slots[slot] : UNASSIGNED;
 }
 
-leader_engine::leader_engine(shard_id shard, instance_id self, const coordination_settings &settings,
+leader_engine::leader_engine(shard_id shard, incarnation_id self, const coordination_settings &settings,
                              std::unique_ptr<i_assignment_policy> policy)
     : m_shard(std::move(shard))
     , m_self(std::move(self))
@@ -45,7 +45,7 @@
     if (!isContinuation)
         m_sessions.clear();
     m_right.begin(state.term);
-    m_fence.begin(state.earlier, now);
+    m_fence.begin(m_self, isContinuation, state.earlier, now);
     m_planner.clear();
     m_nextPlan = now;
     addSessions(state, now);
@@ -225,7 +225,7 @@
         body.moves.push_back({move.slot, owned.epoch, move.owner, move.cause});
     }
     if (!body.moves.empty())
-        records.add({newRecordId(random), m_self, std::move(body)}, now, actions);
+        records.add({newRecordId(random), m_self.instance, std::move(body)}, now, actions);
 }
 
 void leader_engine::proposeSettled(const shard_state &state, random_source &random,
@@ -233,12 +233,8 @@
 {
     if (state.earlier.empty() || records.has<settled_record>())
         return;
-    const bool waited = now >= m_fence.until();
-    const bool settled = std::all_of(m_sessions.begin(), m_sessions.end(), [&](const auto &entry) {
-        return waited || entry.second.isContacted();
-    });
-    if (settled)
-        records.add({newRecordId(random), m_self, settled_record{m_shard, state.term, false}}, now,
+    if (now >= m_fence.until())
+        records.add({newRecordId(random), m_self.instance, settled_record{m_shard, state.term, false}}, now,
                     actions);
 }
 
@@ -248,7 +244,7 @@
     control_request request;
     request.shard = m_shard;
     request.term = state.term;
-    request.holder = m_self;
+    request.holder = m_self.instance;
     for (const auto &[slot, epoch] : session.held()) {
         if (slotIn(state, slot).owner != id)
             request.revokes.push_back(slot);
--- a/src/coordination/internal/leaderengine.h
+++ b/src/coordination/internal/leaderengine.h
@@ -21,7 +21,7 @@
 class leader_engine
 {
 public:
-    leader_engine(shard_id shard, instance_id self, const coordination_settings &settings,
+    leader_engine(shard_id shard, incarnation_id self, const coordination_settings &settings,
                   std::unique_ptr<i_assignment_policy> policy);
 
     void setTargets(std::vector<listed_target> targets, instant now);
@@ -41,6 +41,9 @@
     /// @param now the current time.
     void takeOver(const shard_state &state, std::uint64_t sequenceFloor, instant now);
 
+    /// Takes that no earlier leader is active any more.
+    void settle(instant now) { m_fence.begin(m_self, true, {}, now); }
+
     /// Stops to lead and forgets all targets.
     void end();
 
@@ -90,7 +93,7 @@
                                 const shard_state &state, instant now) const;
 
     shard_id m_shard;
-    instance_id m_self;
+    incarnation_id m_self;
     coordination_settings m_settings;
     std::unique_ptr<i_assignment_policy> m_policy;
     leadership_right m_right;
--- a/src/coordination/internal/predecessorfence.cpp
+++ b/src/coordination/internal/predecessorfence.cpp
@@ -4,40 +4,70 @@
 
 namespace clementinebeam {
 
-void predecessor_fence::begin(const std::vector<earlier_leadership> &earlier, instant now)
+void predecessor_fence::begin(const incarnation_id &self, bool isContinuation,
+                              const std::vector<earlier_leadership> &earlier, instant now)
 {
     m_begin = now;
     m_entries.clear();
-    const auto isolationEnd = now + m_settings.withMargin(m_settings.isolationLimit)
-            + m_settings.withMargin(m_settings.lease);
+    const auto lease = m_settings.withMargin(m_settings.lease);
+    const auto isolationEnd = now + m_settings.withMargin(m_settings.isolationLimit) + lease;
     for (const auto &leadership : earlier) {
+        const bool isOwn = leadership.leader == self;
+        if (isOwn && isContinuation)
+            continue;
         entry item{leadership, leadership.bounded ? isolationEnd : instant::max()};
-        for (const auto &[from, at] : m_statements)
-            applyStatement(item, from, at);
+        if (isOwn)
+            item.end = now + lease;
+        for (const auto &[from, statement] : m_statements)
+            apply(item, from, statement);
+        const auto heard = m_heard.find(leadership.leader);
+        if (heard != m_heard.end())
+            apply(item, heard->first, heard->second);
         m_entries.push_back(item);
     }
 }
 
+void predecessor_fence::noteLeader(const incarnation_id &leader, term_number term, instant now)
+{
+    note(m_heard, leader, term, now);
+}
+
+void predecessor_fence::note(inactivity_table &table, const incarnation_id &process, term_number term,
+                             instant now)
+{
+    auto &known = table[process];
+    if (term > known.term)
+        known = {term, now};
+}
+
 void predecessor_fence::beginAfterHandover(instant now)
 {
     m_begin = std::max(m_begin, now + m_settings.withMargin(m_settings.lease));
 }
 
-void predecessor_fence::addStatement(const incarnation_id &from, instant now)
+void predecessor_fence::addStatement(const incarnation_id &from, term_number term, instant now)
 {
-    m_statements.try_emplace(from, now);
+    note(m_statements, from, term, now);
     for (auto &item : m_entries)
-        applyStatement(item, from, now);
+        apply(item, from, {term, now});
 }
 
-void predecessor_fence::applyStatement(entry &item, const incarnation_id &from, instant at) const
+void predecessor_fence::apply(entry &item, const incarnation_id &from,
+                              const inactivity &statement) const
 {
+    if (item.leadership.term >= statement.term)
+        return;
+    const auto lease = m_settings.withMargin(m_settings.lease);
     if (from == item.leadership.leader) {
-        item.end = std::min(item.end, at + m_settings.withMargin(m_settings.lease));
+        item.end = std::min(item.end, statement.since + lease);
         item.leaderStated = true;
-    } else if (from == item.leadership.standby) {
-        item.end = std::min(item.end, at + m_settings.withMargin(m_settings.isolationLimit)
-                                    + m_settings.withMargin(m_settings.lease));
+        return;
+    }
+    const bool isOfPair = from.instance == item.leadership.leader.instance
+            || from.instance == item.leadership.standby.instance;
+    if (isOfPair) {
+        const auto isolation = m_settings.withMargin(m_settings.isolationLimit);
+        item.end = std::min(item.end, statement.since + isolation + lease);
     }
 }
 
--- a/src/coordination/internal/shardcontroller.cpp
+++ b/src/coordination/internal/shardcontroller.cpp
@@ -29,7 +29,7 @@
         , m_settings(settings)
         , m_random(randomSeed)
         , m_ranking(shard)
-        , m_engine(shard, self.instance, settings, std::move(policy))
+        , m_engine(shard, self, settings, std::move(policy))
         , m_records(settings)
         , m_monitor(settings)
     {
@@ -55,7 +55,7 @@
         const bool becameSettled = state.earlier.empty() && !m_state.earlier.empty();
         m_state = state;
         if (becameSettled && wasLeader)
-            m_engine.fence().begin({}, now);
+            m_engine.settle(now);
         if (!isNewTerm)
             return;
         m_acting = false;
@@ -111,7 +111,7 @@
     {
         const bool handsOver = isLeader() && !m_state.standby.empty() && !m_acting;
         if (handsOver)
-            m_handover = handover{m_shard, m_state.term, m_engine.highestSequence()};
+            m_handover = handover{m_shard, m_state.term, m_engine.highestSequence(), m_nextOffset};
         m_stopping = true;
         m_stopAt = now;
         m_termFloor = m_state.term + 1;
@@ -180,8 +180,10 @@
     bool handle(const incarnation_id &from, const heartbeat &body, instant now, action_list &actions)
     {
         const bool isCurrent = body.term == m_state.term && from == m_state.leader && !m_acting;
-        if (isCurrent)
+        if (isCurrent) {
             m_monitor.noteHeartbeat(now);
+            m_engine.fence().noteLeader(from, body.term, now);
+        }
         const bool confirmed = isCurrent && isStandby();
         if (body.term == m_state.term || confirmed)
             send(from.instance, heartbeat_reply{m_shard, body.term, body.sequence, confirmed}, actions);
@@ -231,7 +233,7 @@
                 action_list &)
     {
         if (isLeader() && body.term == m_state.term)
-            m_engine.fence().addStatement(from, now);
+            m_engine.fence().addStatement(from, body.term, now);
         return false;
     }
 
@@ -241,12 +243,15 @@
             return body.term > m_state.term;
         if (!m_acting && !isStandby())
             return false;
+        // With an older view of the stream this instance could grant slots that have moved on.
+        if (body.nextOffset > m_nextOffset)
+            return true;
         send(from.instance, handover_reply{m_shard, body.term}, actions);
         if (m_acting)
             return false;
         m_acting = true;
         m_engine.takeOver(m_state, body.sequenceFloor, now);
-        m_engine.fence().addStatement(from, now);
+        m_engine.fence().addStatement(from, body.term + 1, now);
         proposeClaim(now, actions);
         m_engine.reconcile(m_state, now, actions);
         return false;
--- a/src/coordination/internal/targetsession.cpp
+++ b/src/coordination/internal/targetsession.cpp
@@ -20,8 +20,6 @@
         m_unconfirmed.insert(grant.slot);
     m_outstanding = request.sequence;
     m_lastSend = now;
-    if (m_nonce != 0)
-        m_leaseBound = std::max(m_leaseBound, now + m_settings.withMargin(m_settings.lease));
 }
 
 bool target_session::complete(std::uint64_t sequence, term_number term, const control_reply &reply,
@@ -35,9 +33,9 @@
             raiseSequence(reply.sequence);
         return true;
     }
-    // An earlier leader's renewal may have been accepted just before this message.
-    if (!m_contacted)
-        m_leaseBound = std::max(m_leaseBound, now + m_settings.withMargin(m_settings.lease));
+    // A lease runs from the issue of the nonce that renews it, which was before the answer arrived;
+    // so this also bounds renewals by an earlier leader, and later ones with this nonce.
+    m_leaseBound = now + m_settings.withMargin(m_settings.lease);
     m_contacted = true;
     m_nonce = reply.nonce;
     m_draining = reply.draining;
@@ -59,11 +57,12 @@
 
 bool target_session::mayHold(slot_index slot, instant now, instant fence) const
 {
-    if (!m_contacted)
-        return now < fence || now < m_leaseBound;
-    if (now >= m_leaseBound)
-        return false;
-    return m_held.contains(slot) || m_unconfirmed.contains(slot);
+    const bool isKnown = m_contacted && now < m_leaseBound;
+    if (isKnown)
+        return m_held.contains(slot) || m_unconfirmed.contains(slot);
+    // A target that restarted has forgotten the terms that it saw, so a silent one may serve an
+    // earlier leader again.
+    return now < fence;
 }
 
 bool target_session::holds(const slot_grant &grant) const
--- a/src/ledger/internal/requestledger.cpp
+++ b/src/ledger/internal/requestledger.cpp
@@ -98,13 +98,11 @@
     entry.state = state;
 }
 
-void request_ledger::withdraw(const std::string &requestId, std::uint32_t attempt)
+bool request_ledger::isRunning(const std::string &requestId, std::uint64_t token) const
 {
     const auto known = m_entries.find(requestId);
-    if (known == m_entries.end() || known->second.entry.attempt != attempt)
-        return;
-    if (known->second.entry.state == ledger_state::Running)
-        setState(known->second, ledger_state::NotRun);
+    return known != m_entries.end() && known->second.entry.token == token
+            && known->second.entry.state == ledger_state::Running;
 }
 
 std::optional<ledger_entry> request_ledger::complete(const outcome_report &report)
@@ -115,7 +113,7 @@
     auto &entry = known->second.entry;
     // A report that arrives after the request was given up as unknown still settles it.
     const bool isOpen = entry.state == ledger_state::Running || entry.state == ledger_state::Unknown;
-    if (entry.attempt != report.attempt || !isOpen || report.state == ledger_state::Running)
+    if (entry.token != report.token || !isOpen || report.state == ledger_state::Running)
         return std::nullopt;
     setState(known->second, report.state);
     entry.answer = report.answer;
--- a/src/ownership/internal/ownershipreplay.cpp
+++ b/src/ownership/internal/ownershipreplay.cpp
@@ -97,9 +97,9 @@
             m_shards.erase(claim.shard);
         return replay_verdict::Void;
     }
-    if (state.term != 0 && claim.leader != state.leader) {
+    if (state.term != 0) {
         const bool byStandby = claim.leader == state.standby;
-        state.earlier.push_back({state.leader, state.standby, byStandby});
+        state.earlier.push_back({state.term, state.leader, state.standby, byStandby});
     }
     state.shard = claim.shard;
     state.previousTerm = claim.previousTerm;
--- a/src/routing/internal/requestrouter.cpp
+++ b/src/routing/internal/requestrouter.cpp
@@ -161,7 +161,7 @@
             reason = static_cast<error_kind>(reply.value().reason);
             return std::nullopt;
         }
-        return send_permit{reply.value().owner, reply.value().epoch, reply.value().term, 0};
+        return send_permit{reply.value().owner, reply.value().epoch, reply.value().term};
     }
     const auto view = m_services.routes->view();
     const auto route = view->services.find(request.caller.service);
@@ -170,7 +170,7 @@
     const auto &slot = route->second.slots[request.slot];
     if (slot.owner.empty())
         return std::nullopt;
-    return send_permit{slot.owner, slot.epoch, 0, 0};
+    return send_permit{slot.owner, slot.epoch, 0};
 }
 
 routed_answer request_router::routeIdempotent(const routed_request &request)
@@ -241,10 +241,9 @@
             return failure(reason);
         if (reply && reply.value().decision == admission::Run) {
             const auto &permitted = reply.value();
-            const send_permit permit{permitted.owner, permitted.epoch, permitted.term,
-                                     permitted.attempt};
+            const send_permit permit{permitted.owner, permitted.epoch, permitted.term};
             const auto answer = sendOnce(request, permit);
-            reportOutcome(request, permit, answer);
+            reportOutcome(request, token, answer);
             if (answer.reason == error_kind::None) {
                 auto result = answered(answer);
                 result.owner = permit.owner;
@@ -259,6 +258,13 @@
             token = newToken();
         }
         auto next = delay.next();
+        if (!next) {
+            // The leader may have recorded the admission although its reply never arrived.
+            target_answer unsent;
+            unsent.reason = reason;
+            unsent.isNotRun = true;
+            reportOutcome(request, token, unsent);
+        }
         if (!next)
             return failure(reason == error_kind::None ? error_kind::DeadlineExceeded : reason);
         if (reason == error_kind::RequestInProgress)
@@ -328,14 +334,14 @@
     }
 }
 
-void request_router::reportOutcome(const routed_request &request, const send_permit &permit,
+void request_router::reportOutcome(const routed_request &request, std::uint64_t token,
                                    const target_answer &answer)
 {
     outcome_report report;
     report.shard = request.shard;
     report.requestId = request.caller.requestId;
     report.slot = request.slot;
-    report.attempt = permit.attempt;
+    report.token = token;
     if (answer.reason == error_kind::None) {
         report.state = ledger_state::Answered;
         report.answer = {answer.status, answer.contentType, answer.body};
--- a/src/routing/internal/requestrouter.h
+++ b/src/routing/internal/requestrouter.h
@@ -67,7 +67,6 @@
         target_id owner;
         epoch_number epoch = 0;
         term_number term = 0;
-        std::uint32_t attempt = 0;
     };
 
     routed_answer routeIdempotent(const routed_request &request);
@@ -77,7 +76,7 @@
     target_answer sendOnce(const routed_request &request, const send_permit &permit);
     void noteAnswer(const routed_request &request, const target_answer &answer,
                     std::chrono::microseconds duration);
-    void reportOutcome(const routed_request &request, const send_permit &permit,
+    void reportOutcome(const routed_request &request, std::uint64_t token,
                        const target_answer &answer);
     std::shared_ptr<target_queue> queueOf(const target_id &target, const service_settings &service);
     std::uint64_t newToken();
