--- a/include/clementinebeam/configuration/configurationreplay.h
+++ b/include/clementinebeam/configuration/configurationreplay.h
@@ -126,8 +126,8 @@
     log_offset m_firstOffset = 0;
     log_offset m_nextOffset = 0;
     bool m_known = true;
-    std::shared_ptr<const configuration_snapshot> m_current
-            = std::make_shared<configuration_snapshot>();
+    std::shared_ptr<const configuration_snapshot> m_current =
+            std::make_shared<configuration_snapshot>();
     std::optional<log_offset> m_checkpointOffset;
     std::deque<patch_result> m_history;
     std::vector<std::pair<log_offset, patch_record>> m_deferred;
--- a/include/clementinebeam/http/httpchannel.h
+++ b/include/clementinebeam/http/httpchannel.h
@@ -11,12 +11,12 @@
 
 /// Limits of a channel.
 struct channel_settings {
-    std::size_t connections = 4;                      ///< Connections that are held open.
-    std::size_t maxConnections = 16;                  ///< Including those that are stuck.
-    std::chrono::milliseconds idleLimit{2000};        ///< Idle connections are renewed after it.
-    std::chrono::milliseconds stuckLimit{500};        ///< Replaced when overdue by this time.
-    std::chrono::milliseconds reconnectDelay{50};     ///< First delay after a failed attempt.
-    std::chrono::milliseconds maxReconnectDelay{500};
+    std::size_t connections = 4;                   ///< Connections that are held open.
+    std::size_t maxConnections = 16;               ///< Including those that are stuck.
+    std::chrono::milliseconds idleLimit {2000};    ///< Idle connections are renewed after it.
+    std::chrono::milliseconds stuckLimit {500};    ///< Replaced when overdue by this time.
+    std::chrono::milliseconds reconnectDelay {50}; ///< First delay after a failed attempt.
+    std::chrono::milliseconds maxReconnectDelay {500};
 };
 
 using exchange_callback = std::function<void(result<http_response>)>;
--- a/include/clementinebeam/kernel/binarycodec.h
+++ b/include/clementinebeam/kernel/binarycodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/kernel/boundedarchive.h"
 #include "clementinebeam/kernel/result.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -28,8 +29,7 @@
 result<value_type> decodeBinary(const std::string &bytes)
 {
     try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
+        bounded_input_archive archive(bytes);
         value_type value;
         archive(value);
         return value;
--- a/include/clementinebeam/kernel/errorkind.h
+++ b/include/clementinebeam/kernel/errorkind.h
@@ -83,5 +83,4 @@
 } // namespace clementinebeam
 
 template <>
-struct std::is_error_code_enum<clementinebeam::error_kind> : std::true_type {
-};
+struct std::is_error_code_enum<clementinebeam::error_kind> : std::true_type { };
--- a/include/clementinebeam/kernel/orderedmutex.h
+++ b/include/clementinebeam/kernel/orderedmutex.h
@@ -23,7 +23,9 @@
 {
 public:
     /// @param rank position in the global lock order.
-    explicit ordered_mutex(lock_rank rank) : m_rank(rank) { }
+    explicit ordered_mutex(lock_rank rank)
+        : m_rank(rank)
+    { }
 
     void lock();
     void unlock();
--- a/include/clementinebeam/kernel/serviceregistry.h
+++ b/include/clementinebeam/kernel/serviceregistry.h
@@ -17,7 +17,8 @@
     void provide(std::shared_ptr<interface_type> service)
     {
         using stored_type = std::remove_const_t<interface_type>;
-        m_services[typeid(interface_type)] = std::const_pointer_cast<stored_type>(std::move(service));
+        m_services[typeid(interface_type)] =
+                std::const_pointer_cast<stored_type>(std::move(service));
     }
 
     /// @return the implementation of an interface, or null if no module provides it.
--- a/include/clementinebeam/ledger/ledgertypes.h
+++ b/include/clementinebeam/ledger/ledgertypes.h
@@ -41,17 +41,18 @@
     slot_index slot = 0;
     ledger_state state = ledger_state::Running;
     std::uint32_t attempt = 1; ///< Counts admissions, so that copies are stored in order.
-    std::uint64_t token = 0; ///< Of the newest admission; reports of other ones are ignored.
+    std::uint64_t token = 0;   ///< Of the newest admission; reports of other ones are ignored.
     incarnation_id executor;
-    std::int64_t createdAt = 0;   ///< Milliseconds since the Unix epoch, from the request id.
-    std::int64_t remainingMs = 0; ///< Time until a running request without report counts as unknown.
+    std::int64_t createdAt = 0; ///< Milliseconds since the Unix epoch, from the request id.
+    std::int64_t remainingMs =
+            0; ///< Time until a running request without report counts as unknown.
     recorded_answer answer;
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(requestId, fingerprint, slot, state, attempt, token, executor, createdAt, remainingMs,
-                answer);
+        archive(requestId, fingerprint, slot, state, attempt, token, executor, createdAt,
+                remainingMs, answer);
     }
 };
 
@@ -60,7 +61,8 @@
     shard_id shard;
     std::string requestId; ///< Empty for an idempotent request.
     std::uint64_t fingerprint = 0;
-    std::uint64_t token = 0; ///< Random; a repeated admit_request with the same token is the same one.
+    std::uint64_t token =
+            0; ///< Random; a repeated admit_request with the same token is the same one.
     slot_index slot = 0;
     std::int64_t remainingMs = 0;
 
--- a/include/clementinebeam/observability/imetrics.h
+++ b/include/clementinebeam/observability/imetrics.h
@@ -20,8 +20,8 @@
     /// @param kind the request kind.
     /// @param reason error kind of the answer; None for an answered request.
     /// @param duration time from arrival to answer.
-    virtual void countRequest(const service_name &service, const std::string &kind, error_kind reason,
-                              std::chrono::microseconds duration) = 0;
+    virtual void countRequest(const service_name &service, const std::string &kind,
+                              error_kind reason, std::chrono::microseconds duration) = 0;
 
     /// Counts a message that was dropped.
     virtual void countDrop(std::string_view reason) = 0;
@@ -30,7 +30,8 @@
     virtual void countRetry(const service_name &service, std::string_view reason) = 0;
 
     /// Counts slots that got a new owner.
-    virtual void countMoves(const service_name &service, std::string_view cause, std::size_t count) = 0;
+    virtual void countMoves(const service_name &service, std::string_view cause,
+                            std::size_t count) = 0;
 
     /// Observes the time that the leader took to admit a request.
     virtual void observeAdmission(std::chrono::microseconds duration) = 0;
--- a/include/clementinebeam/observability/logline.h
+++ b/include/clementinebeam/observability/logline.h
@@ -31,8 +31,8 @@
     log_line &add(std::string_view key, std::string_view value);
 
     template <class number_type>
-    requires std::is_arithmetic_v<number_type>
-    log_line &add(std::string_view key, number_type value)
+    requires std::is_arithmetic_v<number_type> log_line &add(std::string_view key,
+                                                             number_type value)
     {
         return add(key, std::string_view(std::to_string(value)));
     }
--- a/include/clementinebeam/ownership/ownershiptypes.h
+++ b/include/clementinebeam/ownership/ownershiptypes.h
@@ -60,7 +60,8 @@
     }
 };
 
-/// States that no earlier leader of the shard can renew a lease any more. Valid in the current term.
+/// States that no earlier leader of the shard can renew a lease any more. Valid in the current
+/// term.
 struct settled_record {
     shard_id shard;
     term_number term = 0;
--- a/include/clementinebeam/peering/ipeertransport.h
+++ b/include/clementinebeam/peering/ipeertransport.h
@@ -18,8 +18,8 @@
 using peer_reply_callback = std::function<void(result<peer_message>)>;
 using peer_responder = std::function<void(peer_message)>;
 using peer_message_handler = std::function<void(const incarnation_id &, const peer_message &)>;
-using peer_request_handler
-        = std::function<void(const incarnation_id &, const peer_message &, peer_responder)>;
+using peer_request_handler =
+        std::function<void(const incarnation_id &, const peer_message &, peer_responder)>;
 
 /// Messages between instances. Handlers and callbacks run on the transport's thread.
 class i_peer_transport
--- a/include/clementinebeam/platform/platformtypes.h
+++ b/include/clementinebeam/platform/platformtypes.h
@@ -33,9 +33,9 @@
     listed_role role = listed_role::Instance;
     bool leaving = false;
     std::string dataCentre;
-    network_address address;     ///< Caller address of an instance, request address of a target.
-    std::uint16_t peerPort = 0;  ///< Of an instance, for UDP and TCP.
-    service_name service;        ///< Of a target.
+    network_address address;    ///< Caller address of an instance, request address of a target.
+    std::uint16_t peerPort = 0; ///< Of an instance, for UDP and TCP.
+    service_name service;       ///< Of a target.
 };
 
 } // namespace clementinebeam
--- a/include/clementinebeam/targets/itargetclient.h
+++ b/include/clementinebeam/targets/itargetclient.h
@@ -27,14 +27,14 @@
     slot_index slot = 0;
     epoch_number epoch = 0;
     term_number term = 0; ///< 0 for an idempotent request.
-    instant deadline{};
+    instant deadline {};
 };
 
 /// What became of a request at its target.
 struct target_answer {
     error_kind reason = error_kind::None; ///< None if it was answered.
     bool isNotRun = false;                ///< The request was provably not run.
-    bool didConnectionDie = false;        ///< The connection ended while the target had the request.
+    bool didConnectionDie = false; ///< The connection ended while the target had the request.
     int status = 0;
     std::string contentType;
     std::string body;
@@ -71,7 +71,8 @@
     /// Asks a target that takes no grants for its health.
     /// @param target the target.
     /// @param timeout when to give up.
-    /// @param callback receives a reply with draining, running and queued set, or TargetUnreachable.
+    /// @param callback receives a reply with draining, running and queued set, or
+    /// TargetUnreachable.
     virtual void probe(const target_id &target, std::chrono::milliseconds timeout,
                        control_callback callback) = 0;
 };
--- a/src/assignment/internal/boundedloadpolicy.cpp
+++ b/src/assignment/internal/boundedloadpolicy.cpp
@@ -11,7 +11,9 @@
 class bounded_load_policy : public i_assignment_policy
 {
 public:
-    explicit bounded_load_policy(const policy_limits &limits) : m_limits(limits) { }
+    explicit bounded_load_policy(const policy_limits &limits)
+        : m_limits(limits)
+    { }
 
     std::string_view name() const override { return "bounded_load"; }
 
--- a/src/assignment/internal/minimumchurnpolicy.cpp
+++ b/src/assignment/internal/minimumchurnpolicy.cpp
@@ -13,7 +13,9 @@
 class minimum_churn_policy : public i_assignment_policy
 {
 public:
-    explicit minimum_churn_policy(const policy_limits &limits) : m_limits(limits) { }
+    explicit minimum_churn_policy(const policy_limits &limits)
+        : m_limits(limits)
+    { }
 
     std::string_view name() const override { return "minimum_churn"; }
 
@@ -67,8 +69,9 @@
             if (slot.movable && !table.find(slot.owner))
                 unserved.push_back(&slot);
         }
-        std::stable_sort(unserved.begin(), unserved.end(),
-                         [](const auto *left, const auto *right) { return left->load > right->load; });
+        std::stable_sort(unserved.begin(), unserved.end(), [](const auto *left, const auto *right) {
+            return left->load > right->load;
+        });
         // A slot without measured load still costs something, so that slots spread evenly.
         const double floor = meanSlotLoad(input);
         std::vector<planned_move> moves;
--- a/src/assignment/internal/rendezvouspolicy.cpp
+++ b/src/assignment/internal/rendezvouspolicy.cpp
@@ -5,11 +5,14 @@
 
 namespace {
 
-/// Weighted rendezvous hashing: the baseline; ignores load and moves slots back to returning targets.
+/// Weighted rendezvous hashing: the baseline; ignores load and moves slots back to returning
+/// targets.
 class rendezvous_policy : public i_assignment_policy
 {
 public:
-    explicit rendezvous_policy(const policy_limits &limits) : m_limits(limits) { }
+    explicit rendezvous_policy(const policy_limits &limits)
+        : m_limits(limits)
+    { }
 
     std::string_view name() const override { return "rendezvous"; }
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds POLL_INTERVAL{100};
+constexpr std::chrono::milliseconds POLL_INTERVAL {100};
 
 exit_code reportFailure(const operator_answer &answer)
 {
@@ -62,13 +62,14 @@
     std::cout << "instance " << formatCell(document["instance"]) << " in "
               << formatCell(document["data_centre"]) << ", configuration version "
               << document["version"] << "\n\n";
-    std::cout << formatTable(document["shards"], {{"SHARD", "shard"},
-                                                  {"ROLE", "role"},
-                                                  {"TERM", "term"},
-                                                  {"LEADER", "leader"},
-                                                  {"STANDBY", "standby"},
-                                                  {"SETTLED", "settled"},
-                                                  {"UNSERVED", "unserved_slots"}});
+    std::cout << formatTable(document["shards"],
+                             {{"SHARD", "shard"},
+                              {"ROLE", "role"},
+                              {"TERM", "term"},
+                              {"LEADER", "leader"},
+                              {"STANDBY", "standby"},
+                              {"SETTLED", "settled"},
+                              {"UNSERVED", "unserved_slots"}});
     return exit_code::Success;
 }
 
@@ -107,12 +108,13 @@
     if (context.options.isJson)
         std::cout << rows.dump(2) << '\n';
     else
-        std::cout << formatTable(rows, {{"SHARD", "shard"},
-                                        {"TARGET", "target"},
-                                        {"ALIVE", "alive"},
-                                        {"DRAINING", "draining"},
-                                        {"SLOTS", "held_slots"},
-                                        {"SILENT MS", "since_reply_ms"}});
+        std::cout << formatTable(rows,
+                                 {{"SHARD", "shard"},
+                                  {"TARGET", "target"},
+                                  {"ALIVE", "alive"},
+                                  {"DRAINING", "draining"},
+                                  {"SLOTS", "held_slots"},
+                                  {"SILENT MS", "since_reply_ms"}});
     return exit_code::Success;
 }
 
@@ -153,7 +155,8 @@
 
 exit_code runAudit(const command_context &context)
 {
-    const auto query = context.arguments.empty() ? "" : "limit=" + encodeQuery(context.arguments[0]);
+    const auto query =
+            context.arguments.empty() ? "" : "limit=" + encodeQuery(context.arguments[0]);
     return show(context, "/v1/audit", query,
                 {{"STREAM", "stream"},
                  {"OFFSET", "offset"},
@@ -170,8 +173,7 @@
     return static_cast<std::size_t>(
             std::count_if(instances.begin(), instances.end(), [version](const auto &entry) {
                 const bool isInstance = entry["role"] == "instance" && entry["state"] == "live";
-                return isInstance
-                        && (entry["version"].is_null() || entry["version"] < version);
+                return isInstance && (entry["version"].is_null() || entry["version"] < version);
             }));
 }
 
@@ -197,7 +199,8 @@
 exit_code submitPatch(const command_context &context, const std::string &base,
                       const std::string &patch)
 {
-    const auto query = "base=" + encodeQuery(base) + "&author=" + encodeQuery(context.options.author);
+    const auto query =
+            "base=" + encodeQuery(base) + "&author=" + encodeQuery(context.options.author);
     const auto answer = context.client.post("/v1/patches", query, patch);
     if (!answer)
         return reportUnreachable();
@@ -286,7 +289,7 @@
 
 const std::vector<command> &commands()
 {
-    static const std::vector<command> COMMANDS{
+    static const std::vector<command> COMMANDS {
             {"status", "", "shows the instance and its shards", 0, 0, runStatus},
             {"services", "", "lists the configured services", 0, 0, runServices},
             {"slots", "SERVICE", "lists a service's slots with owner and epoch", 1, 1, runSlots},
@@ -294,8 +297,9 @@
             {"instances", "", "lists instances and targets with the version in force", 0, 0,
              runInstances},
             {"configuration", "", "prints the configuration in force", 0, 0, runConfiguration},
-            {"patch", "BASE FILE", "submits a JSON merge patch against version BASE and waits until it "
-                                   "is in force",
+            {"patch", "BASE FILE",
+             "submits a JSON merge patch against version BASE and waits until it "
+             "is in force",
              2, 2, runPatch},
             {"wait", "VERSION", "waits until a version is in force everywhere", 1, 1, runWait},
             {"history", "", "lists the newest patches with their results", 0, 0, runHistory},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,19 +12,19 @@
 /// Exit codes of the command-line tool.
 enum class exit_code {
     Success = 0,
-    Failed = 1,       ///< The instance refused; the reason is on standard error.
-    Usage = 2,        ///< The command line is wrong.
-    Unreachable = 3,  ///< The instance did not answer.
-    Conflict = 4,     ///< The patch lost against another one; fetch the version and try again.
-    Invalid = 5,      ///< The patch or the settings are invalid.
-    NotInForce = 6,   ///< The version is not in force everywhere within the time.
+    Failed = 1,      ///< The instance refused; the reason is on standard error.
+    Usage = 2,       ///< The command line is wrong.
+    Unreachable = 3, ///< The instance did not answer.
+    Conflict = 4,    ///< The patch lost against another one; fetch the version and try again.
+    Invalid = 5,     ///< The patch or the settings are invalid.
+    NotInForce = 6,  ///< The version is not in force everywhere within the time.
 };
 
 /// What the command line says besides the command.
 struct command_options {
     bool isJson = false;
     std::string author;
-    std::chrono::milliseconds wait{10000};
+    std::chrono::milliseconds wait {10000};
 };
 
 /// Everything that a command works with.
--- a/src/cli/formatter.cpp
+++ b/src/cli/formatter.cpp
@@ -32,7 +32,8 @@
     for (const auto &row : rows) {
         cells.emplace_back();
         for (std::size_t index = 0; index < columns.size(); ++index) {
-            auto cell = row.contains(columns[index].field) ? formatCell(row[columns[index].field]) : "-";
+            auto cell = row.contains(columns[index].field) ? formatCell(row[columns[index].field])
+                                                           : "-";
             widths[index] = std::max(widths[index], cell.size());
             cells.back().push_back(std::move(cell));
         }
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -24,7 +24,8 @@
     }
     text += "\nExit codes: 0 success, 1 refused, 2 wrong usage, 3 unreachable, 4 conflict, "
             "5 invalid, 6 not in force everywhere.\n"
-            "Options: --instance=IP:PORT --token=TOKEN --author=NAME --output=table|json --wait_ms=N\n"
+            "Options: --instance=IP:PORT --token=TOKEN --author=NAME --output=table|json "
+            "--wait_ms=N\n"
             "\"clementinebeam help COMMAND\" explains one command.";
     return text;
 }
@@ -43,7 +44,7 @@
     const auto port = std::strtoul(text.c_str() + colon + 1, nullptr, 10);
     if (port == 0 || port > UINT16_MAX)
         return std::nullopt;
-    return network_address{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+    return network_address {text.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
 std::string token()
@@ -58,8 +59,8 @@
 {
     const auto *entry = argc > 2 ? findCommand(argv[2]) : nullptr;
     if (entry)
-        std::cout << "clementinebeam " << entry->name << ' ' << entry->usage << "\n  " << entry->help
-                  << '\n';
+        std::cout << "clementinebeam " << entry->name << ' ' << entry->usage << "\n  "
+                  << entry->help << '\n';
     else
         std::cout << usage() << '\n';
     return 0;
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds ANSWER_TIMEOUT{15};
+constexpr std::chrono::seconds ANSWER_TIMEOUT {15};
 constexpr std::size_t WORST_EXPANSION = 3;
 
 } // namespace
@@ -24,10 +24,10 @@
 operator_client::operator_client(network_address address, std::string token)
     : m_address(std::move(address))
     , m_token(std::move(token))
-{
-}
+{ }
 
-result<operator_answer> operator_client::get(const std::string &path, const std::string &query) const
+result<operator_answer> operator_client::get(const std::string &path,
+                                             const std::string &query) const
 {
     http_request request;
     request.path = path;
--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -33,7 +33,8 @@
     , m_problems(problems)
 {
     if (!object.is_object())
-        m_problems.push_back({m_path.empty() ? "(document)" : m_path, "an object", describe(object)});
+        m_problems.push_back(
+                {m_path.empty() ? "(document)" : m_path, "an object", describe(object)});
 }
 
 bool settings_reader::has(const std::string &field) const
--- a/src/controlplane/internal/actionrunner.cpp
+++ b/src/controlplane/internal/actionrunner.cpp
@@ -15,8 +15,7 @@
     , m_targets(std::move(targets))
     , m_controlTimeout(settings.coordination.heartbeatInterval)
     , m_permitLife(PERMIT_LIFE)
-{
-}
+{ }
 
 void action_runner::run(const shard_id &shard, const action_list &actions)
 {
@@ -64,7 +63,8 @@
         if (!entry)
             return;
         if (reply)
-            entry->controller.onTargetReply(target, sequence, reply.value(), boot_clock::now(), actions);
+            entry->controller.onTargetReply(target, sequence, reply.value(), boot_clock::now(),
+                                            actions);
         else
             entry->controller.onTargetFailure(target, sequence);
     }
@@ -84,7 +84,7 @@
         auto &controller = entry->controller;
         if (controller.role() != shard_role::Leader || controller.term() != action.request.term)
             return controller.onTargetFailure(action.to, action.request.sequence);
-        auto reply = health ? health.value() : control_reply{};
+        auto reply = health ? health.value() : control_reply {};
         reply.isUnreachable = !health;
         auto &proxy = proxyFor(*entry, action.to, m_permitLife, now);
         const auto isRunning = [entry](slot_index slot) {
--- a/src/controlplane/internal/actionrunner.h
+++ b/src/controlplane/internal/actionrunner.h
@@ -21,7 +21,10 @@
                   const daemon_settings &settings);
 
     /// @param onAppended called when the log confirmed an append.
-    void setAppendHandler(std::function<void()> onAppended) { m_onAppended = std::move(onAppended); }
+    void setAppendHandler(std::function<void()> onAppended)
+    {
+        m_onAppended = std::move(onAppended);
+    }
 
     /// @param shard the shard that the actions are for.
     /// @param actions what to do.
--- a/src/controlplane/internal/admissionservice.cpp
+++ b/src/controlplane/internal/admissionservice.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds COPY_TIMEOUT{300};
+constexpr std::chrono::milliseconds COPY_TIMEOUT {300};
 constexpr std::size_t SYNC_CHUNK_ENTRIES = 500;
 
 admit_reply refusal(error_kind reason)
@@ -23,8 +23,7 @@
         entry.proxies.clear();
         entry.proxyTerm = entry.controller.term();
     }
-    return entry.proxies
-            .try_emplace(target, target, entry.controller.state(), permitLife, now)
+    return entry.proxies.try_emplace(target, target, entry.controller.state(), permitLife, now)
             .first->second;
 }
 
@@ -35,8 +34,7 @@
     , m_peers(std::move(peers))
     , m_metrics(std::move(metrics))
     , m_clock(std::move(clock))
-{
-}
+{ }
 
 std::optional<admit_reply> admission_service::refuseEarly(shard_entry *entry,
                                                           const admit_request &request) const
@@ -108,7 +106,8 @@
 }
 
 void admission_service::finishAdmission(const admit_request &request, const ledger_entry &recorded,
-                                        bool copied, instant startedAt, const peer_responder &respond)
+                                        bool copied, instant startedAt,
+                                        const peer_responder &respond)
 {
     admit_reply reply = refusal(error_kind::LedgerUnavailable);
     {
@@ -130,8 +129,8 @@
 {
     m_peers->request(standby, copy, COPY_TIMEOUT,
                      [done = std::move(done)](const result<peer_message> &reply) {
-                         const auto *stored
-                                 = reply ? std::get_if<ledger_copy_reply>(&reply.value()) : nullptr;
+                         const auto *stored =
+                                 reply ? std::get_if<ledger_copy_reply>(&reply.value()) : nullptr;
                          done(stored && stored->accepted);
                      });
 }
@@ -144,14 +143,14 @@
         const ordered_lock lock(m_shards.mutex());
         auto *entry = m_shards.find(report.shard);
         if (!entry || !entry->controller.leads(m_clock->now()))
-            return respond(outcome_reply{false});
+            return respond(outcome_reply {false});
         auto changed = entry->keeper.ledger().complete(report);
         if (!changed)
-            return respond(outcome_reply{true});
+            return respond(outcome_reply {true});
         copy = {report.shard, entry->controller.term(), {std::move(*changed)}, 0, false};
         standby = entry->controller.state().standby.instance;
     }
-    sendCopy(standby, copy, [respond](bool copied) { respond(outcome_reply{copied}); });
+    sendCopy(standby, copy, [respond](bool copied) { respond(outcome_reply {copied}); });
 }
 
 void admission_service::store(const incarnation_id &from, const ledger_copy &copy,
@@ -180,7 +179,7 @@
             continue;
         entry->keeper.setSynced(true);
         auto chunks = std::make_shared<std::vector<ledger_copy>>();
-        ledger_copy chunk{shard, state.term, {}, 0, false};
+        ledger_copy chunk {shard, state.term, {}, 0, false};
         for (auto &item : entry->keeper.ledger().entries(now)) {
             chunk.entries.push_back(std::move(item));
             if (chunk.entries.size() == SYNC_CHUNK_ENTRIES) {
@@ -196,7 +195,8 @@
 }
 
 void admission_service::sendChunk(const instance_id &standby,
-                                  std::shared_ptr<std::vector<ledger_copy>> chunks, std::size_t index)
+                                  std::shared_ptr<std::vector<ledger_copy>> chunks,
+                                  std::size_t index)
 {
     if (index == chunks->size())
         return;
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TICK_INTERVAL{20};
-constexpr std::chrono::milliseconds LIST_TIMEOUT{500};
-constexpr std::chrono::milliseconds STATE_TIMEOUT{1000};
-constexpr std::chrono::milliseconds LOAD_INTERVAL{1000};
-constexpr std::chrono::milliseconds EXPIRY_INTERVAL{500};
-constexpr std::chrono::milliseconds PATCH_RETRY{700};
-constexpr std::chrono::milliseconds STOP_POLL{10};
-constexpr std::chrono::milliseconds HANDOVER_WAIT{1200};
+constexpr std::chrono::milliseconds TICK_INTERVAL {20};
+constexpr std::chrono::milliseconds LIST_TIMEOUT {500};
+constexpr std::chrono::milliseconds STATE_TIMEOUT {1000};
+constexpr std::chrono::milliseconds LOAD_INTERVAL {1000};
+constexpr std::chrono::milliseconds EXPIRY_INTERVAL {500};
+constexpr std::chrono::milliseconds PATCH_RETRY {700};
+constexpr std::chrono::milliseconds STOP_POLL {10};
+constexpr std::chrono::milliseconds HANDOVER_WAIT {1200};
 
 template <class... handler_types>
 struct overloaded : handler_types... {
@@ -29,8 +29,7 @@
     : m_self(self)
     , m_settings(settings)
     , m_shards(self, settings, makeSystemSeededSource()())
-{
-}
+{ }
 
 control_plane::~control_plane()
 {
@@ -46,14 +45,14 @@
     m_reader = std::make_unique<stream_reader>(m_shards, *m_runner, services.log, services.audit,
                                                services.metrics, m_self);
     m_admissions = std::make_unique<admission_service>(m_shards, services.peers, services.metrics,
-                                                        std::make_shared<machine_clock>());
-    services.peers->setMessageHandler([this](const incarnation_id &from, const peer_message &message) {
-        handleMessage(from, message);
-    });
-    services.peers->setRequestHandler(
-            [this](const incarnation_id &from, const peer_message &message, peer_responder respond) {
-                handleRequest(from, message, std::move(respond));
+                                                       std::make_shared<machine_clock>());
+    services.peers->setMessageHandler(
+            [this](const incarnation_id &from, const peer_message &message) {
+                handleMessage(from, message);
             });
+    services.peers->setRequestHandler(
+            [this](const incarnation_id &from, const peer_message &message,
+                   peer_responder respond) { handleRequest(from, message, std::move(respond)); });
     m_readThread = std::thread([this] { readLoop(); });
     m_listThread = std::thread([this] { listLoop(); });
     m_tickThread = std::thread([this] { tickLoop(); });
@@ -76,7 +75,7 @@
     {
         const ordered_lock lock(m_shards.mutex());
         for (auto &[shard, entry] : m_shards.entries()) {
-            work.emplace_back(shard, action_list{});
+            work.emplace_back(shard, action_list {});
             entry->controller.beginStop(boot_clock::now(), work.back().second);
         }
     }
@@ -86,8 +85,9 @@
     const auto areStopped = [this] {
         const ordered_lock lock(m_shards.mutex());
         const auto now = boot_clock::now();
-        return std::all_of(m_shards.entries().begin(), m_shards.entries().end(),
-                           [now](const auto &item) { return item.second->controller.isStopped(now); });
+        return std::all_of(
+                m_shards.entries().begin(), m_shards.entries().end(),
+                [now](const auto &item) { return item.second->controller.isStopped(now); });
     };
     while (!areStopped() && boot_clock::now() < limit)
         std::this_thread::sleep_for(STOP_POLL);
@@ -140,7 +140,7 @@
         const bool isPeer = entry.role == listed_role::Instance && entry.id != m_self.instance;
         if (!isPeer)
             continue;
-        auto reply = m_services.peers->call(entry.id, state_request{true}, STATE_TIMEOUT);
+        auto reply = m_services.peers->call(entry.id, state_request {true}, STATE_TIMEOUT);
         const auto *state = reply ? std::get_if<state_reply>(&reply.value()) : nullptr;
         if (!state || !state->isReady)
             continue;
@@ -278,7 +278,7 @@
         if (expires)
             m_nextExpiry = now + EXPIRY_INTERVAL;
         for (auto &[shard, entry] : m_shards.entries()) {
-            work.emplace_back(shard, action_list{});
+            work.emplace_back(shard, action_list {});
             entry->controller.tick(now, work.back().second);
             entry->keeper.update(entry->controller, wallNow());
             if (expires)
@@ -321,7 +321,8 @@
     m_nextConfigurationCheckpoint = now + m_settings.coordination.checkpointInterval;
     auto random = makeSystemSeededSource();
     checkpoint.id = newRecordId(random);
-    m_services.log->append(CONFIGURATION_STREAM, encodeBinary(configuration_record(checkpoint)), [] {});
+    m_services.log->append(CONFIGURATION_STREAM, encodeBinary(configuration_record(checkpoint)),
+                           [] {});
 }
 
 void control_plane::addLoad(const shard_id &shard, slot_index slot, double seconds)
@@ -342,7 +343,7 @@
             if (leader == m_self)
                 entry->load.addReport(loads);
             else if (!leader.empty() && !loads.empty())
-                reports.emplace_back(leader.instance, load_report{shard, std::move(loads)});
+                reports.emplace_back(leader.instance, load_report {shard, std::move(loads)});
         }
     }
     for (const auto &[leader, report] : reports)
@@ -361,12 +362,13 @@
 void control_plane::reportMetrics()
 {
     for (const auto &status : shards())
-        m_services.metrics->setShard(status.shard, static_cast<int>(status.role), status.unservedSlots);
+        m_services.metrics->setShard(status.shard, static_cast<int>(status.role),
+                                     status.unservedSlots);
 }
 
 void control_plane::handleMessage(const incarnation_id &from, const peer_message &message)
 {
-    std::visit(overloaded{
+    std::visit(overloaded {
                        [&](const coordination_message &body) { handleCoordination(from, body); },
                        [&](const crash_report &body) {
                            m_services.quarantine->noteCrash(body.service, body.fingerprint);
@@ -382,7 +384,8 @@
                message);
 }
 
-void control_plane::handleCoordination(const incarnation_id &from, const coordination_message &message)
+void control_plane::handleCoordination(const incarnation_id &from,
+                                       const coordination_message &message)
 {
     const auto shard = std::visit([](const auto &body) { return body.shard; }, message);
     action_list actions;
@@ -403,7 +406,7 @@
 void control_plane::handleRequest(const incarnation_id &from, const peer_message &message,
                                   peer_responder respond)
 {
-    std::visit(overloaded{
+    std::visit(overloaded {
                        [&](const admit_request &body) {
                            m_admissions->admit(from, body, std::move(respond));
                        },
--- a/src/controlplane/internal/ledgerkeeper.cpp
+++ b/src/controlplane/internal/ledgerkeeper.cpp
@@ -20,8 +20,7 @@
     : m_self(std::move(self))
     , m_clockSkewLimit(settings.clockSkewLimit)
     , m_ledger(ledgerSettings(settings))
-{
-}
+{ }
 
 void ledger_keeper::update(const shard_controller &controller, wall_time wall)
 {
@@ -40,7 +39,7 @@
     if (isLeader && !continues) {
         // In a shard's first term no request can have been admitted before.
         const bool isFirst = controller.state().previousTerm == 0;
-        m_ledger.reset(isFirst ? wall_time{} : wall + m_clockSkewLimit);
+        m_ledger.reset(isFirst ? wall_time {} : wall + m_clockSkewLimit);
     }
     if (role == shard_role::Standby)
         m_ledger.setHorizon(wall + m_clockSkewLimit);
@@ -58,14 +57,15 @@
     const auto &earlier = controller.state().earlier;
     return std::any_of(earlier.begin(), earlier.end(), [this](const earlier_leadership &item) {
         // A standby that took over refuses the copies of its former leader.
-        const bool isCovered = item.bounded || item.leader == m_self || item.leader == m_coveredLeader;
-        return !isCovered;
+        const bool hasCopied = item.leader == m_coveredLeader && item.term <= m_coveredTerm;
+        return !item.bounded && !hasCopied && item.leader != m_self;
     });
 }
 
 void ledger_keeper::store(const incarnation_id &from, const ledger_copy &copy, instant now)
 {
     m_coveredLeader = from;
+    m_coveredTerm = copy.term;
     m_hasHeardLeader = true;
     for (const auto &entry : copy.entries)
         m_ledger.store(entry, now);
--- a/src/controlplane/internal/ledgerkeeper.h
+++ b/src/controlplane/internal/ledgerkeeper.h
@@ -9,8 +9,8 @@
 /// Keeps a shard's ledger in step with this instance's role.
 ///
 /// A ledger stays valid while its holder goes on as leader, or turns from a standby that its leader
-/// copied to into the leader. In all other cases it starts anew, and ids created before that count as
-/// unknown.
+/// copied to into the leader. In all other cases it starts anew, and ids created before that count
+/// as unknown.
 class ledger_keeper
 {
 public:
@@ -53,7 +53,8 @@
     bool m_isSynced = false;
     bool m_hasHeardLeader = false;  ///< As a standby: the leader entered the present term.
     incarnation_id m_coveredLeader; ///< The leader that copied to this instance at last.
-    bool m_needsSettled = false; ///< An earlier pair may still be admitting requests.
+    term_number m_coveredTerm = 0;  ///< Its term then.
+    bool m_needsSettled = false;    ///< An earlier pair may still be admitting requests.
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/loadcollector.h
+++ b/src/controlplane/internal/loadcollector.h
@@ -8,7 +8,8 @@
 
 namespace clementinebeam {
 
-/// Sums service time by slot, on the instance that measures it and on the leader that plans with it.
+/// Sums service time by slot, on the instance that measures it and on the leader that plans with
+/// it.
 class load_collector
 {
 public:
@@ -30,7 +31,7 @@
     std::map<slot_index, double> m_local;
     std::map<slot_index, double> m_reported;
     std::map<slot_index, double> m_rates;
-    instant m_periodStart{};
+    instant m_periodStart {};
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/shardtable.cpp
+++ b/src/controlplane/internal/shardtable.cpp
@@ -12,16 +12,14 @@
     , keeper(self, settings)
     , checksGrants(service.checksGrants)
     , policy(service.policy)
-{
-}
+{ }
 
 shard_table::shard_table(incarnation_id self, const daemon_settings &settings,
                          std::uint64_t randomSeed)
     : m_self(std::move(self))
     , m_settings(settings)
     , m_random(randomSeed)
-{
-}
+{ }
 
 shard_entry *shard_table::find(const shard_id &shard)
 {
@@ -50,7 +48,7 @@
                                 const std::vector<instance_view> &instances, instant now)
 {
     for (std::uint32_t index = 0; index < service.shards; ++index) {
-        const shard_id shard{name, index};
+        const shard_id shard {name, index};
         auto &entry = m_entries[shard];
         if (!entry)
             entry = std::make_unique<shard_entry>(shard, m_self, m_settings, service, m_random());
--- a/src/controlplane/internal/streamreader.cpp
+++ b/src/controlplane/internal/streamreader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds READ_TIMEOUT{500};
+constexpr std::chrono::milliseconds READ_TIMEOUT {500};
 
 std::string_view verdictName(patch_verdict verdict)
 {
@@ -33,7 +33,8 @@
 } // namespace
 
 stream_reader::stream_reader(shard_table &shards, action_runner &runner,
-                             std::shared_ptr<i_log_client> log, std::shared_ptr<i_audit_trail> audit,
+                             std::shared_ptr<i_log_client> log,
+                             std::shared_ptr<i_audit_trail> audit,
                              std::shared_ptr<i_metrics> metrics, const incarnation_id &self)
     : m_shards(shards)
     , m_runner(runner)
@@ -41,8 +42,7 @@
     , m_audit(std::move(audit))
     , m_metrics(std::move(metrics))
     , m_self(self.instance)
-{
-}
+{ }
 
 stream_reader::round_result stream_reader::read()
 {
@@ -95,8 +95,9 @@
     const auto *outcome = patch ? m_configuration.find(patch->id) : nullptr;
     if (!outcome || outcome->offset != entry.offset)
         return;
-    m_audit->add({CONFIGURATION_STREAM, entry.offset, "patch", patch->department + '/' + patch->author,
-                  joined(outcome->touchedPaths), std::string(verdictName(outcome->verdict)),
+    m_audit->add({CONFIGURATION_STREAM, entry.offset, "patch",
+                  patch->department + '/' + patch->author, joined(outcome->touchedPaths),
+                  std::string(verdictName(outcome->verdict)),
                   "base " + std::to_string(patch->baseVersion) + ", now "
                           + std::to_string(outcome->version)});
 }
@@ -151,8 +152,8 @@
                       "leader " + claim->leader.instance + ", standby " + claim->standby.instance});
     }
     if (const auto *settled = std::get_if<settled_record>(&record.body)) {
-        m_audit->add({OWNERSHIP_STREAM, offset, "settle", record.writer, settled->shard.text(), result,
-                      settled->byOperator ? "by operator" : "by leader"});
+        m_audit->add({OWNERSHIP_STREAM, offset, "settle", record.writer, settled->shard.text(),
+                      result, settled->byOperator ? "by operator" : "by leader"});
     }
     const auto *moves = std::get_if<move_record>(&record.body);
     if (!moves)
@@ -162,9 +163,9 @@
         byOwner[{move.owner, move.cause}].push_back(std::to_string(move.slot));
     for (const auto &[key, slots] : byOwner) {
         const auto &[owner, cause] = key;
-        m_audit->add({OWNERSHIP_STREAM, offset, "move", record.writer, moves->shard.text(), result,
-                      std::string(moveCauseName(cause)) + " to " + owner + ": slots "
-                              + joined(slots)});
+        m_audit->add(
+                {OWNERSHIP_STREAM, offset, "move", record.writer, moves->shard.text(), result,
+                 std::string(moveCauseName(cause)) + " to " + owner + ": slots " + joined(slots)});
         if (verdict == replay_verdict::Applied)
             m_metrics->countMoves(moves->shard.service, moveCauseName(cause), slots.size());
     }
--- a/src/coordination/internal/instanceranking.cpp
+++ b/src/coordination/internal/instanceranking.cpp
@@ -7,7 +7,9 @@
 void instance_ranking::setInstances(std::vector<instance_view> instances)
 {
     m_instances = std::move(instances);
-    const auto score = [this](const instance_view &view) { return hashOf(view.id, hashOf(m_shard.text())); };
+    const auto score = [this](const instance_view &view) {
+        return hashOf(view.id, hashOf(m_shard.text()));
+    };
     std::sort(m_instances.begin(), m_instances.end(),
               [&](const instance_view &left, const instance_view &right) {
                   return score(left) > score(right);
@@ -33,8 +35,9 @@
     return found == m_instances.end() ? nullptr : &*found;
 }
 
-const instance_view *instance_ranking::pickStandby(
-        const instance_id &leader, const std::function<bool(const instance_id &)> &isCandidate) const
+const instance_view *
+instance_ranking::pickStandby(const instance_id &leader,
+                              const std::function<bool(const instance_id &)> &isCandidate) const
 {
     const auto *leaderView = find(leader);
     const instance_view *best = nullptr;
--- a/src/coordination/internal/instanceranking.h
+++ b/src/coordination/internal/instanceranking.h
@@ -11,7 +11,9 @@
 class instance_ranking
 {
 public:
-    explicit instance_ranking(shard_id shard) : m_shard(std::move(shard)) { }
+    explicit instance_ranking(shard_id shard)
+        : m_shard(std::move(shard))
+    { }
 
     /// @param instances all listed instances.
     void setInstances(std::vector<instance_view> instances);
@@ -31,8 +33,9 @@
     /// @param leader the leader.
     /// @param isCandidate tells whether an instance may be picked.
     /// @return the instance, or null.
-    const instance_view *pickStandby(const instance_id &leader,
-                                     const std::function<bool(const instance_id &)> &isCandidate) const;
+    const instance_view *
+    pickStandby(const instance_id &leader,
+                const std::function<bool(const instance_id &)> &isCandidate) const;
 
 private:
     shard_id m_shard;
--- a/src/coordination/internal/leaderengine.cpp
+++ b/src/coordination/internal/leaderengine.cpp
@@ -9,7 +9,7 @@
 
 /// Shortest time between two control messages to a target, so that waiting for a release does not
 /// become a busy loop.
-constexpr std::chrono::milliseconds CONTROL_PACE{10};
+constexpr std::chrono::milliseconds CONTROL_PACE {10};
 
 } // namespace
 
@@ -19,7 +19,8 @@
     return slot < state.slots.size() ? state.slots[slot] : UNASSIGNED;
 }
 
-leader_engine::leader_engine(shard_id shard, incarnation_id self, const coordination_settings &settings,
+leader_engine::leader_engine(shard_id shard, incarnation_id self,
+                             const coordination_settings &settings,
                              std::unique_ptr<i_assignment_policy> policy)
     : m_shard(std::move(shard))
     , m_self(std::move(self))
@@ -28,8 +29,7 @@
     , m_right(settings)
     , m_fence(settings)
     , m_planner(settings)
-{
-}
+{ }
 
 void leader_engine::setTargets(std::vector<listed_target> targets, instant now)
 {
@@ -217,7 +217,7 @@
         const auto *session = findSession(target);
         return session && session->isPrepared(slot);
     };
-    move_record body{m_shard, state.term, {}};
+    move_record body {m_shard, state.term, {}};
     for (const auto &move : m_planner.takeReady(isPrepared, now)) {
         const auto &owned = slotIn(state, move.slot);
         if (owned.owner == move.owner || !isSettled(owned, move.slot, now))
@@ -234,8 +234,9 @@
     if (state.earlier.empty() || records.has<settled_record>())
         return;
     if (now >= m_fence.until())
-        records.add({newRecordId(random), m_self.instance, settled_record{m_shard, state.term, false}}, now,
-                    actions);
+        records.add(
+                {newRecordId(random), m_self.instance, settled_record {m_shard, state.term, false}},
+                now, actions);
 }
 
 control_request leader_engine::makeRequest(const target_id &id, const target_session &session,
--- a/src/coordination/internal/leadershipright.h
+++ b/src/coordination/internal/leadershipright.h
@@ -13,7 +13,9 @@
 class leadership_right
 {
 public:
-    explicit leadership_right(const coordination_settings &settings) : m_settings(settings) { }
+    explicit leadership_right(const coordination_settings &settings)
+        : m_settings(settings)
+    { }
 
     /// Starts a new term.
     /// @param term the term.
@@ -41,7 +43,7 @@
 
     coordination_settings m_settings;
     term_number m_term = 0;
-    instant m_until{};
+    instant m_until {};
     std::map<std::uint64_t, instant> m_sent;
 };
 
--- a/src/coordination/internal/moveplanner.h
+++ b/src/coordination/internal/moveplanner.h
@@ -11,7 +11,9 @@
 class move_planner
 {
 public:
-    explicit move_planner(const coordination_settings &settings) : m_settings(settings) { }
+    explicit move_planner(const coordination_settings &settings)
+        : m_settings(settings)
+    { }
 
     /// Replaces the plan of moves that wait for their new owner.
     /// @param plan the policy's newest plan.
--- a/src/coordination/internal/predecessorfence.cpp
+++ b/src/coordination/internal/predecessorfence.cpp
@@ -15,7 +15,7 @@
         const bool isOwn = leadership.leader == self;
         if (isOwn && isContinuation)
             continue;
-        entry item{leadership, leadership.bounded ? isolationEnd : instant::max()};
+        entry item {leadership, leadership.bounded ? isolationEnd : instant::max()};
         if (isOwn)
             item.end = now + lease;
         for (const auto &[from, statement] : m_statements)
@@ -32,8 +32,8 @@
     note(m_heard, leader, term, now);
 }
 
-void predecessor_fence::note(inactivity_table &table, const incarnation_id &process, term_number term,
-                             instant now)
+void predecessor_fence::note(inactivity_table &table, const incarnation_id &process,
+                             term_number term, instant now)
 {
     auto &known = table[process];
     if (term > known.term)
--- a/src/coordination/internal/predecessorfence.h
+++ b/src/coordination/internal/predecessorfence.h
@@ -9,16 +9,18 @@
 
 /// Bounds the time until which earlier leaders of a shard may have kept a lease alive.
 ///
-/// It matters for targets that the new leader does not reach: a target that saw the new term refuses
-/// every earlier leader, until it restarts.
+/// It matters for targets that the new leader does not reach: a target that saw the new term
+/// refuses every earlier leader, until it restarts.
 ///
-/// A former leader's statement ends its leadership at once, unless it handed its right on. Any other
-/// process of the pair, also a restarted one, proves that nobody confirms the former leader any more,
-/// so that its right ends after the isolation limit.
+/// A former leader's statement ends its leadership at once, unless it handed its right on. Any
+/// other process of the pair, also a restarted one, proves that nobody confirms the former leader
+/// any more, so that its right ends after the isolation limit.
 class predecessor_fence
 {
 public:
-    explicit predecessor_fence(const coordination_settings &settings) : m_settings(settings) { }
+    explicit predecessor_fence(const coordination_settings &settings)
+        : m_settings(settings)
+    { }
 
     /// Starts a term.
     /// @param self the new leader.
@@ -47,7 +49,8 @@
     /// @return the instances whose statement would shorten the wait.
     std::vector<instance_id> pending() const;
 
-    /// @return the time from which no earlier leader's lease can be alive; the maximum if unbounded.
+    /// @return the time from which no earlier leader's lease can be alive; the maximum if
+    /// unbounded.
     instant until() const;
 
 private:
@@ -59,11 +62,11 @@
 
     coordination_settings m_settings;
     std::vector<entry> m_entries;
-    instant m_begin{};
+    instant m_begin {};
     /// A process is not active any more in the terms below this one.
     struct inactivity {
         term_number term = 0;
-        instant since{};
+        instant since {};
     };
 
     using inactivity_table = std::map<incarnation_id, inactivity>;
--- a/src/coordination/internal/proposals.h
+++ b/src/coordination/internal/proposals.h
@@ -14,7 +14,9 @@
 class proposals
 {
 public:
-    explicit proposals(const coordination_settings &settings) : m_settings(settings) { }
+    explicit proposals(const coordination_settings &settings)
+        : m_settings(settings)
+    { }
 
     /// @param record the record to append.
     /// @param now the current time.
@@ -33,13 +35,13 @@
     template <class body_type>
     bool has() const
     {
-        return m_pending[ownership_body(body_type{}).index()].has_value();
+        return m_pending[ownership_body(body_type {}).index()].has_value();
     }
 
     template <class body_type>
     void drop()
     {
-        m_pending[ownership_body(body_type{}).index()].reset();
+        m_pending[ownership_body(body_type {}).index()].reset();
     }
 
 private:
--- a/src/coordination/internal/shardcontroller.cpp
+++ b/src/coordination/internal/shardcontroller.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t MAX_WATCHERS = 15;
 
 /// How long a stopping leader repeats its handover without an answer.
-constexpr std::chrono::milliseconds HANDOVER_LIMIT{1000};
+constexpr std::chrono::milliseconds HANDOVER_LIMIT {1000};
 
 } // namespace
 
@@ -85,7 +85,8 @@
     bool onMessage(const incarnation_id &from, const coordination_message &message, instant now,
                    action_list &actions)
     {
-        return std::visit([&](const auto &body) { return handle(from, body, now, actions); }, message);
+        return std::visit([&](const auto &body) { return handle(from, body, now, actions); },
+                          message);
     }
 
     void noteSender(const incarnation_id &from, instant now)
@@ -111,7 +112,7 @@
     {
         const bool handsOver = isLeader() && !m_state.standby.empty() && !m_acting;
         if (handsOver)
-            m_handover = handover{m_shard, m_state.term, m_engine.highestSequence(), m_nextOffset};
+            m_handover = handover {m_shard, m_state.term, m_engine.highestSequence(), m_nextOffset};
         m_stopping = true;
         m_stopAt = now;
         m_termFloor = m_state.term + 1;
@@ -133,7 +134,8 @@
 
     bool isStandby() const
     {
-        return !m_stopping && m_state.term >= m_termFloor && m_state.standby == m_self && !isLeader();
+        return !m_stopping && m_state.term >= m_termFloor && m_state.standby == m_self
+                && !isLeader();
     }
 
     shard_status status(instant now) const
@@ -160,7 +162,7 @@
     {
         if (!isLeader() || m_state.earlier.empty())
             return;
-        settled_record body{m_shard, m_state.term, true};
+        settled_record body {m_shard, m_state.term, true};
         m_records.add({newRecordId(m_random), m_self.instance, body}, now, actions);
     }
 
@@ -177,7 +179,8 @@
     term_number m_termFloor = 0; ///< This instance is not active in any term below.
 
 private:
-    bool handle(const incarnation_id &from, const heartbeat &body, instant now, action_list &actions)
+    bool handle(const incarnation_id &from, const heartbeat &body, instant now,
+                action_list &actions)
     {
         const bool isCurrent = body.term == m_state.term && from == m_state.leader && !m_acting;
         if (isCurrent) {
@@ -186,7 +189,8 @@
         }
         const bool confirmed = isCurrent && isStandby();
         if (body.term == m_state.term || confirmed)
-            send(from.instance, heartbeat_reply{m_shard, body.term, body.sequence, confirmed}, actions);
+            send(from.instance, heartbeat_reply {m_shard, body.term, body.sequence, confirmed},
+                 actions);
         return body.term > m_state.term || body.nextOffset > m_nextOffset;
     }
 
@@ -203,7 +207,7 @@
     {
         const bool alive = isLeader() || m_monitor.hears(now);
         if (body.term == m_state.term)
-            send(from.instance, probe_reply{m_shard, body.term, alive}, actions);
+            send(from.instance, probe_reply {m_shard, body.term, alive}, actions);
         return body.term > m_state.term;
     }
 
@@ -225,7 +229,7 @@
             m_acting = false;
             m_engine.end();
         }
-        send(from.instance, predecessor_statement{m_shard, body.term}, actions);
+        send(from.instance, predecessor_statement {m_shard, body.term}, actions);
         return body.term > m_state.term;
     }
 
@@ -246,7 +250,7 @@
         // With an older view of the stream this instance could grant slots that have moved on.
         if (body.nextOffset > m_nextOffset)
             return true;
-        send(from.instance, handover_reply{m_shard, body.term}, actions);
+        send(from.instance, handover_reply {m_shard, body.term}, actions);
         if (m_acting)
             return false;
         m_acting = true;
@@ -276,7 +280,7 @@
             m_nextHeartbeat = now + m_settings.heartbeatInterval;
             sendHeartbeats(now, actions);
             for (const auto &instance : m_engine.fence().pending())
-                send(instance, predecessor_query{m_shard, m_state.term}, actions);
+                send(instance, predecessor_query {m_shard, m_state.term}, actions);
         }
         replaceStandby(now, actions);
         requestCheckpoint(now, actions);
@@ -285,7 +289,7 @@
 
     void sendHeartbeats(instant now, action_list &actions)
     {
-        const heartbeat message{m_shard, m_state.term, ++m_heartbeatSequence, m_nextOffset};
+        const heartbeat message {m_shard, m_state.term, ++m_heartbeatSequence, m_nextOffset};
         m_engine.right().noteHeartbeat(message.sequence, now);
         if (!m_state.standby.empty())
             send(m_state.standby.instance, message, actions);
@@ -324,7 +328,7 @@
         const bool isReplacement = isLeader() && !m_acting;
         if (isReplacement && !standby)
             return;
-        claim_record body{m_shard, m_state.term, m_self, {}};
+        claim_record body {m_shard, m_state.term, m_self, {}};
         if (standby)
             body.standby = incarnationOf(standby->id);
         if (isReplacement && body.standby == m_state.standby)
@@ -335,7 +339,8 @@
     incarnation_id incarnationOf(const instance_id &id) const
     {
         const auto found = m_incarnations.find(id);
-        return found == m_incarnations.end() ? incarnation_id{} : incarnation_id{id, found->second};
+        return found == m_incarnations.end() ? incarnation_id {}
+                                             : incarnation_id {id, found->second};
     }
 
     void requestCheckpoint(instant now, action_list &actions)
@@ -376,7 +381,7 @@
     {
         for (const auto &view : m_ranking.all()) {
             if (view.id != m_self.instance)
-                send(view.id, probe_request{m_shard, m_state.term}, actions);
+                send(view.id, probe_request {m_shard, m_state.term}, actions);
         }
     }
 
@@ -392,10 +397,10 @@
     bool m_acting = false;
     bool m_stopping = false;
     std::optional<handover> m_handover;
-    instant m_stopAt{};
-    instant m_termStart{};
-    instant m_nextHeartbeat{};
-    instant m_nextCheckpoint{};
+    instant m_stopAt {};
+    instant m_termStart {};
+    instant m_nextHeartbeat {};
+    instant m_nextCheckpoint {};
     std::uint64_t m_heartbeatSequence = 0;
     log_offset m_nextOffset = 0;
     std::map<instance_id, instant> m_heardAt;
@@ -408,8 +413,7 @@
                                    std::uint64_t randomSeed)
     : m_impl(std::make_unique<implementation>(std::move(shard), std::move(self), settings,
                                               std::move(policy), randomSeed))
-{
-}
+{ }
 
 shard_controller::~shard_controller() = default;
 
@@ -439,8 +443,8 @@
     m_impl->m_engine.setLoad(std::move(load));
 }
 
-void shard_controller::onRecord(const ownership_record &record, const shard_state &state, instant now,
-                                action_list &actions)
+void shard_controller::onRecord(const ownership_record &record, const shard_state &state,
+                                instant now, action_list &actions)
 {
     m_impl->onRecord(record, state, now, actions);
 }
--- a/src/coordination/internal/standbymonitor.h
+++ b/src/coordination/internal/standbymonitor.h
@@ -15,7 +15,9 @@
         Claim,
     };
 
-    explicit standby_monitor(const coordination_settings &settings) : m_settings(settings) { }
+    explicit standby_monitor(const coordination_settings &settings)
+        : m_settings(settings)
+    { }
 
     /// Starts to watch a term.
     void begin(instant now);
@@ -33,13 +35,16 @@
 
     /// @param now the current time.
     /// @return whether the leader was heard within the silence limit.
-    bool hears(instant now) const { return m_heard && now - m_lastHeard < m_settings.silenceLimit(); }
+    bool hears(instant now) const
+    {
+        return m_heard && now - m_lastHeard < m_settings.silenceLimit();
+    }
 
 private:
     coordination_settings m_settings;
-    instant m_lastHeard{};
+    instant m_lastHeard {};
     bool m_heard = false;
-    instant m_probedAt{};
+    instant m_probedAt {};
     bool m_probing = false;
 };
 
--- a/src/coordination/internal/targetsession.cpp
+++ b/src/coordination/internal/targetsession.cpp
@@ -8,8 +8,7 @@
     : m_id(std::move(id))
     , m_settings(settings)
     , m_lastReply(now)
-{
-}
+{ }
 
 void target_session::begin(control_request &request, instant now)
 {
--- a/src/coordination/internal/targetsession.h
+++ b/src/coordination/internal/targetsession.h
@@ -24,7 +24,8 @@
     /// @param reply the target's answer.
     /// @param now when the answer arrived.
     /// @return false if the answer belongs to no outstanding message.
-    bool complete(std::uint64_t sequence, term_number term, const control_reply &reply, instant now);
+    bool complete(std::uint64_t sequence, term_number term, const control_reply &reply,
+                  instant now);
 
     /// @param sequence sequence of the message that got no answer in time.
     void fail(std::uint64_t sequence);
@@ -52,7 +53,10 @@
     /// @param now the current time.
     /// @param pace shortest time between two messages.
     /// @return whether another message may be sent.
-    bool isPaced(instant now, std::chrono::milliseconds pace) const { return now - m_lastSend >= pace; }
+    bool isPaced(instant now, std::chrono::milliseconds pace) const
+    {
+        return now - m_lastSend >= pace;
+    }
 
     instant lastReply() const { return m_lastReply; }
     const std::map<slot_index, epoch_number> &held() const { return m_held; }
@@ -69,9 +73,9 @@
     std::uint64_t m_nonce = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_outstanding = 0;
-    instant m_lastSend{};
+    instant m_lastSend {};
     instant m_lastReply;
-    instant m_leaseBound{}; ///< The target's lease has surely lapsed after this time.
+    instant m_leaseBound {}; ///< The target's lease has surely lapsed after this time.
     std::map<slot_index, epoch_number> m_held;
     std::set<slot_index> m_unconfirmed; ///< Granted in messages that were not answered.
     std::set<slot_index> m_prepared;
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -29,8 +29,7 @@
 http_server::http_server(server_settings settings, http_handler handler)
     : m_settings(std::move(settings))
     , m_handler(std::move(handler))
-{
-}
+{ }
 
 http_server::~http_server()
 {
@@ -48,24 +47,34 @@
     const auto requestTimeout = std::to_string(m_settings.requestTimeout.count());
     const auto keepAlive = std::to_string(m_settings.keepAliveTimeout.count());
     const auto headerBytes = std::to_string(m_settings.maxHeaderBytes);
-    std::vector<const char *> options{
-            "listening_ports", port.c_str(),
-            "num_threads", threads.c_str(),
-            "enable_keep_alive", "yes",
-            "keep_alive_timeout_ms", keepAlive.c_str(),
-            "request_timeout_ms", requestTimeout.c_str(),
-            "max_request_size", headerBytes.c_str(),
-            "tcp_nodelay", "1",
-            "connection_queue", "256",
-            "listen_backlog", "256",
-            "decode_url", "yes",
+    std::vector<const char *> options {
+            "listening_ports",
+            port.c_str(),
+            "num_threads",
+            threads.c_str(),
+            "enable_keep_alive",
+            "yes",
+            "keep_alive_timeout_ms",
+            keepAlive.c_str(),
+            "request_timeout_ms",
+            requestTimeout.c_str(),
+            "max_request_size",
+            headerBytes.c_str(),
+            "tcp_nodelay",
+            "1",
+            "connection_queue",
+            "256",
+            "listen_backlog",
+            "256",
+            "decode_url",
+            "yes",
     };
     if (secure) {
         options.push_back("ssl_certificate");
         options.push_back(m_settings.certificateFile.c_str());
     }
     options.push_back(nullptr);
-    mg_callbacks callbacks{};
+    mg_callbacks callbacks {};
     m_context = mg_start(&callbacks, this, options.data());
     if (!m_context)
         return std::make_error_code(std::errc::address_in_use);
@@ -114,7 +123,7 @@
         response.headers.add("Connection", "close");
         return response;
     }
-    std::array<char, READ_BYTES> buffer{};
+    std::array<char, READ_BYTES> buffer {};
     for (;;) {
         const int got = mg_read(connection, buffer.data(), buffer.size());
         if (got <= 0)
--- a/src/kernel/internal/base64.cpp
+++ b/src/kernel/internal/base64.cpp
@@ -20,8 +20,8 @@
 {
     const auto groups = (bytes.size() + BYTES_PER_GROUP - 1) / BYTES_PER_GROUP;
     std::string text(groups * LETTERS_PER_GROUP + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), asBytes(bytes),
-                                       static_cast<int>(bytes.size()));
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                       asBytes(bytes), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
@@ -31,8 +31,8 @@
     if (text.size() % LETTERS_PER_GROUP != 0)
         return make_error_code(error_kind::BadMessage);
     std::string bytes(text.size() / LETTERS_PER_GROUP * BYTES_PER_GROUP + 1, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), asBytes(text),
-                                       static_cast<int>(text.size()));
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                       asBytes(text), static_cast<int>(text.size()));
     if (length < 0)
         return make_error_code(error_kind::BadMessage);
     auto size = static_cast<std::size_t>(length);
--- a/src/kernel/internal/kernel.cpp
+++ b/src/kernel/internal/kernel.cpp
@@ -20,16 +20,14 @@
     std::vector<std::unique_ptr<i_module>> modules;
     for (const auto &factory : m_factories)
         modules.push_back(factory());
-    std::sort(modules.begin(), modules.end(), [](const auto &left, const auto &right) {
-        return left->level() < right->level();
-    });
+    std::sort(modules.begin(), modules.end(),
+              [](const auto &left, const auto &right) { return left->level() < right->level(); });
     return modules;
 }
 
 kernel::kernel()
     : m_modules(module_catalogue::instance().createAll())
-{
-}
+{ }
 
 std::error_code kernel::start()
 {
--- a/src/observability/internal/logline.cpp
+++ b/src/observability/internal/logline.cpp
@@ -34,8 +34,8 @@
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char letter) {
-        return letter <= ' ' || letter == '"' || letter == '=';
-    });
+               return letter <= ' ' || letter == '"' || letter == '=';
+           });
 }
 
 std::string quoted(std::string_view value)
@@ -65,8 +65,7 @@
 log_line::log_line(log_level level, std::string_view event)
     : m_level(level)
     , m_text("event=" + std::string(event))
-{
-}
+{ }
 
 log_line::~log_line()
 {
--- a/src/observability/internal/prometheusmetrics.h
+++ b/src/observability/internal/prometheusmetrics.h
@@ -18,7 +18,8 @@
                       std::chrono::microseconds duration) override;
     void countDrop(std::string_view reason) override;
     void countRetry(const service_name &service, std::string_view reason) override;
-    void countMoves(const service_name &service, std::string_view cause, std::size_t count) override;
+    void countMoves(const service_name &service, std::string_view cause,
+                    std::size_t count) override;
     void observeAdmission(std::chrono::microseconds duration) override;
     void setConfigurationVersion(std::uint64_t version) override;
     void setLogReachable(bool reachable) override;
--- a/src/operators/internal/jsonviews.cpp
+++ b/src/operators/internal/jsonviews.cpp
@@ -54,7 +54,8 @@
 {
     auto targets = nlohmann::json::array();
     for (const auto &target : status.targets) {
-        const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(target.sinceReply);
+        const auto silence =
+                std::chrono::duration_cast<std::chrono::milliseconds>(target.sinceReply);
         targets.push_back({{"target", target.id},
                            {"alive", target.alive},
                            {"draining", target.draining},
@@ -77,8 +78,8 @@
 nlohmann::json toJson(const audit_entry &entry)
 {
     return {
-            {"stream", entry.stream},   {"offset", entry.offset},   {"action", entry.action},
-            {"author", entry.author},   {"subject", entry.subject}, {"result", entry.result},
+            {"stream", entry.stream}, {"offset", entry.offset},   {"action", entry.action},
+            {"author", entry.author}, {"subject", entry.subject}, {"result", entry.result},
             {"detail", entry.detail},
     };
 }
--- a/src/operators/internal/operatorserver.cpp
+++ b/src/operators/internal/operatorserver.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t MAX_PATCH_BYTES = 256 << 10;
 constexpr std::size_t MAX_AUTHOR_BYTES = 64;
 constexpr std::size_t DEFAULT_AUDIT_ENTRIES = 50;
-constexpr std::chrono::milliseconds PATCH_TIMEOUT{8000};
-constexpr std::chrono::milliseconds VERSION_TIMEOUT{300};
+constexpr std::chrono::milliseconds PATCH_TIMEOUT {8000};
+constexpr std::chrono::milliseconds VERSION_TIMEOUT {300};
 
 server_settings operatorListener(const daemon_settings &settings)
 {
@@ -30,15 +30,14 @@
     http_response response;
     response.status = status;
     response.headers.add("Content-Type", "application/json");
-    response.body
-            = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
+    response.body = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
     return response;
 }
 
 http_response errorResponse(error_kind kind, const std::string &detail = {})
 {
     const auto &row = answerFor(kind);
-    nlohmann::json document{{"reason", row.reason}, {"text", row.text}};
+    nlohmann::json document {{"reason", row.reason}, {"text", row.text}};
     if (!detail.empty())
         document["detail"] = detail;
     return jsonResponse(row.httpStatus, document);
@@ -73,7 +72,7 @@
 
 const std::vector<operator_server::route> &operator_server::routes()
 {
-    static const std::vector<route> ROUTES{
+    static const std::vector<route> ROUTES {
             {"GET", "/v1/status", &operator_server::getStatus},
             {"GET", "/v1/services", &operator_server::getServices},
             {"GET", "/v1/slots", &operator_server::getSlots},
@@ -94,9 +93,9 @@
     , m_services(std::move(services))
     , m_authenticator(settings.departments)
     , m_random(makeSystemSeededSource())
-    , m_server(operatorListener(settings), [this](const http_request &request) { return handle(request); })
-{
-}
+    , m_server(operatorListener(settings),
+               [this](const http_request &request) { return handle(request); })
+{ }
 
 record_id operator_server::newId()
 {
@@ -138,13 +137,14 @@
     auto shards = nlohmann::json::array();
     for (const auto &status : m_services.plane->shards())
         shards.push_back(toJson(status));
-    return jsonResponse(200, {{"instance", m_self.instance},
-                              {"data_centre", m_settings.dataCentre},
-                              {"ready", position.isReady},
-                              {"version", position.version},
-                              {"configuration_offset", position.configurationOffset},
-                              {"ownership_offset", position.ownershipOffset},
-                              {"shards", shards}});
+    return jsonResponse(200,
+                        {{"instance", m_self.instance},
+                         {"data_centre", m_settings.dataCentre},
+                         {"ready", position.isReady},
+                         {"version", position.version},
+                         {"configuration_offset", position.configurationOffset},
+                         {"ownership_offset", position.ownershipOffset},
+                         {"shards", shards}});
 }
 
 http_response operator_server::getServices(const http_request &, const department_settings &)
@@ -170,7 +170,7 @@
 {
     if (entry.id == m_self.instance)
         return m_services.plane->position().version;
-    const auto reply = m_services.peers->call(entry.id, state_request{false}, VERSION_TIMEOUT);
+    const auto reply = m_services.peers->call(entry.id, state_request {false}, VERSION_TIMEOUT);
     const auto *state = reply ? std::get_if<state_reply>(&reply.value()) : nullptr;
     return state ? nlohmann::json(state->version) : nlohmann::json();
 }
@@ -192,8 +192,9 @@
     const auto view = m_services.routes->view();
     if (!view)
         return errorResponse(error_kind::NotReady);
-    return jsonResponse(200, {{"version", view->configuration->version},
-                              {"document", view->configuration->document}});
+    return jsonResponse(200,
+                        {{"version", view->configuration->version},
+                         {"document", view->configuration->document}});
 }
 
 http_response operator_server::getHistory(const http_request &, const department_settings &)
@@ -253,7 +254,8 @@
     case patch_verdict::Accepted:
         return jsonResponse(200, toJson(outcome.value()));
     case patch_verdict::Conflict:
-        return jsonResponse(answerFor(error_kind::VersionConflict).httpStatus, toJson(outcome.value()));
+        return jsonResponse(answerFor(error_kind::VersionConflict).httpStatus,
+                            toJson(outcome.value()));
     case patch_verdict::Invalid:
         break;
     }
@@ -263,7 +265,7 @@
 http_response operator_server::postConfirmLost(const http_request &request,
                                                const department_settings &department)
 {
-    shard_id shard{request.parameter("service"), 0};
+    shard_id shard {request.parameter("service"), 0};
     std::uint64_t index = 0;
     if (!parseNumber(request.parameter("shard"), index))
         return errorResponse(error_kind::BadRequest, "shard");
--- a/src/peering/internal/asiopeertransport.cpp
+++ b/src/peering/internal/asiopeertransport.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds SWEEP_INTERVAL{5};
+constexpr std::chrono::milliseconds SWEEP_INTERVAL {5};
 
 } // namespace
 
@@ -20,8 +20,7 @@
     , m_address(std::move(address))
     , m_key(std::move(key))
     , m_metrics(std::move(metrics))
-{
-}
+{ }
 
 asio_peer_transport::~asio_peer_transport()
 {
@@ -176,8 +175,8 @@
                 if (error == asio::error::operation_aborted)
                     return;
                 if (!error) {
-                    const auto envelope
-                            = decode({m_buffer.data(), length}, m_sender.address().to_string());
+                    const auto envelope =
+                            decode({m_buffer.data(), length}, m_sender.address().to_string());
                     if (envelope && m_onMessage)
                         m_onMessage(envelope->sender, envelope->body);
                 }
@@ -187,20 +186,21 @@
 
 void asio_peer_transport::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &error,
-                                   asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (!error) {
-            boost::system::error_code ignored;
-            const auto host = socket.remote_endpoint(ignored).address().to_string();
-            auto link = std::make_shared<peer_link>(std::move(socket));
-            const std::weak_ptr<peer_link> weak = link;
-            link->start([this, weak, host](std::string_view bytes) { handleFrame(weak, bytes, host); },
-                        [] {});
-        }
-        accept();
-    });
+    m_acceptor.async_accept(
+            [this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (!error) {
+                    boost::system::error_code ignored;
+                    const auto host = socket.remote_endpoint(ignored).address().to_string();
+                    auto link = std::make_shared<peer_link>(std::move(socket));
+                    const std::weak_ptr<peer_link> weak = link;
+                    link->start([this, weak,
+                                 host](std::string_view bytes) { handleFrame(weak, bytes, host); },
+                                [] {});
+                }
+                accept();
+            });
 }
 
 std::optional<peer_envelope> asio_peer_transport::decode(std::string_view bytes,
--- a/src/peering/internal/peerlink.cpp
+++ b/src/peering/internal/peerlink.cpp
@@ -27,8 +27,7 @@
     : m_socket(std::move(socket))
     , m_connected(m_socket.is_open())
     , m_lastReceived(boot_clock::now())
-{
-}
+{ }
 
 void peer_link::connect(const network_address &address)
 {
@@ -85,33 +84,35 @@
 
 void peer_link::readLength()
 {
-    asio::async_read(m_socket, asio::buffer(m_length),
-                     [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                         if (error || self->m_closed)
-                             return self->close();
-                         std::size_t length = 0;
-                         for (const auto byte : self->m_length)
-                             length = length << BITS_PER_BYTE | byte;
-                         if (length > MAX_PEER_MESSAGE_BYTES)
-                             return self->close();
-                         self->readBody(length);
-                     });
+    asio::async_read(
+            m_socket, asio::buffer(m_length),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                if (error || self->m_closed)
+                    return self->close();
+                std::size_t length = 0;
+                for (const auto byte : self->m_length)
+                    length = length << BITS_PER_BYTE | byte;
+                if (length > MAX_PEER_MESSAGE_BYTES)
+                    return self->close();
+                self->readBody(length);
+            });
 }
 
 void peer_link::readBody(std::size_t length)
 {
     m_body.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_body),
-                     [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                         if (error || self->m_closed)
-                             return self->close();
-                         self->m_lastReceived = boot_clock::now();
-                         const auto handler = self->m_onFrame;
-                         if (handler)
-                             handler(self->m_body);
-                         if (!self->m_closed)
-                             self->readLength();
-                     });
+    asio::async_read(
+            m_socket, asio::buffer(m_body),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                if (error || self->m_closed)
+                    return self->close();
+                self->m_lastReceived = boot_clock::now();
+                const auto handler = self->m_onFrame;
+                if (handler)
+                    handler(self->m_body);
+                if (!self->m_closed)
+                    self->readLength();
+            });
 }
 
 void peer_link::writeNext()
@@ -119,14 +120,15 @@
     if (!m_connected || m_writing || m_outgoing.empty())
         return;
     m_writing = true;
-    asio::async_write(m_socket, asio::buffer(m_outgoing.front()),
-                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                          self->m_writing = false;
-                          if (error || self->m_closed)
-                              return self->close();
-                          self->m_outgoing.pop_front();
-                          self->writeNext();
-                      });
+    asio::async_write(
+            m_socket, asio::buffer(m_outgoing.front()),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                self->m_writing = false;
+                if (error || self->m_closed)
+                    return self->close();
+                self->m_outgoing.pop_front();
+                self->writeNext();
+            });
 }
 
 } // namespace clementinebeam
--- a/src/peering/peeringmodule.cpp
+++ b/src/peering/peeringmodule.cpp
@@ -17,9 +17,8 @@
     {
         const auto settings = services.find<const daemon_settings>();
         const auto self = services.find<const incarnation_id>();
-        m_transport = std::make_shared<asio_peer_transport>(*self, settings->peerListener,
-                                                            settings->peerKey,
-                                                            services.find<i_metrics>());
+        m_transport = std::make_shared<asio_peer_transport>(
+                *self, settings->peerListener, settings->peerKey, services.find<i_metrics>());
         services.provide<i_peer_transport>(m_transport);
         return {};
     }
--- a/src/platform/internal/httplogclient.cpp
+++ b/src/platform/internal/httplogclient.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t READ_CONNECTIONS = 2;
 constexpr std::size_t APPEND_CONNECTIONS = 4;
 constexpr std::size_t MAX_RECORDS_PER_READ = 500;
-constexpr std::chrono::milliseconds APPEND_TIMEOUT{1000};
+constexpr std::chrono::milliseconds APPEND_TIMEOUT {1000};
 
 channel_settings channelSettings(std::size_t connections)
 {
@@ -39,7 +39,8 @@
             auto payload = decodeBase64(item.at("payload").get<std::string>());
             if (!payload)
                 return payload.error();
-            batch.entries.push_back({item.at("offset").get<log_offset>(), std::move(payload.value())});
+            batch.entries.push_back(
+                    {item.at("offset").get<log_offset>(), std::move(payload.value())});
         }
         return batch;
     } catch (const nlohmann::json::exception &) {
@@ -52,8 +53,7 @@
 http_log_client::http_log_client(const network_address &address)
     : m_reads(address, channelSettings(READ_CONNECTIONS))
     , m_appends(address, channelSettings(APPEND_CONNECTIONS))
-{
-}
+{ }
 
 void http_log_client::append(const std::string &stream, std::string payload,
                              std::function<void()> onAppended)
--- a/src/platform/platformmodule.cpp
+++ b/src/platform/platformmodule.cpp
@@ -17,7 +17,8 @@
     std::error_code registerServices(service_registry &services) override
     {
         const auto settings = services.find<const daemon_settings>();
-        services.provide<i_log_client>(std::make_shared<http_log_client>(settings->platformAddress));
+        services.provide<i_log_client>(
+                std::make_shared<http_log_client>(settings->platformAddress));
         services.provide<i_instance_list>(
                 std::make_shared<http_instance_list>(settings->platformAddress));
         return {};
--- a/src/routing/internal/callerrequest.cpp
+++ b/src/routing/internal/callerrequest.cpp
@@ -38,8 +38,9 @@
 
 std::error_code checkSizes(const caller_request &request)
 {
-    const bool tooLarge = request.key.size() > MAX_KEY_BYTES || request.service.size() > MAX_NAME_BYTES
-            || request.kind.size() > MAX_NAME_BYTES || request.member.size() > MAX_NAME_BYTES
+    const bool tooLarge = request.key.size() > MAX_KEY_BYTES
+            || request.service.size() > MAX_NAME_BYTES || request.kind.size() > MAX_NAME_BYTES
+            || request.member.size() > MAX_NAME_BYTES
             || request.requestId.size() > MAX_REQUEST_ID_BYTES
             || request.contentType.size() > MAX_NAME_BYTES * 2;
     if (tooLarge)
--- a/src/routing/internal/concurrencylimit.h
+++ b/src/routing/internal/concurrencylimit.h
@@ -7,13 +7,16 @@
 
 /// Adapts the number of requests in flight to one target from the outcomes seen here.
 ///
-/// Additive increase while answers are quick, multiplicative decrease when the target sheds or slows
-/// down. Starts low, so that a cold target is not flooded. Load that targets report is not used.
+/// Additive increase while answers are quick, multiplicative decrease when the target sheds or
+/// slows down. Starts low, so that a cold target is not flooded. Load that targets report is not
+/// used.
 class concurrency_limit
 {
 public:
     /// @param most upper bound of the limit.
-    explicit concurrency_limit(std::uint32_t most) : m_most(most) { }
+    explicit concurrency_limit(std::uint32_t most)
+        : m_most(most)
+    { }
 
     /// @param duration service time of an answered request.
     /// @param wasFull whether the limit was reached while it ran.
--- a/src/routing/internal/gateway.cpp
+++ b/src/routing/internal/gateway.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds DRAIN_POLL{5};
+constexpr std::chrono::milliseconds DRAIN_POLL {5};
 
 server_settings callerServer(const daemon_settings &settings)
 {
@@ -26,8 +26,9 @@
     if (answer.reason == error_kind::None) {
         response.status = answer.status;
         response.body = answer.body;
-        response.headers.add("Content-Type", answer.contentType.empty() ? "application/octet-stream"
-                                                                        : answer.contentType);
+        response.headers.add("Content-Type",
+                             answer.contentType.empty() ? "application/octet-stream"
+                                                        : answer.contentType);
         if (answer.isRecorded)
             response.headers.add("X-Recorded", "true");
         response.headers.add("X-Owner", answer.owner);
@@ -45,7 +46,11 @@
 class in_flight_guard
 {
 public:
-    explicit in_flight_guard(std::atomic<int> &count) : m_count(count) { ++m_count; }
+    explicit in_flight_guard(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
     ~in_flight_guard() { --m_count; }
     in_flight_guard(const in_flight_guard &) = delete;
     in_flight_guard &operator=(const in_flight_guard &) = delete;
@@ -62,9 +67,9 @@
     , m_router(router)
     , m_plane(std::move(plane))
     , m_metrics(std::move(metrics))
-    , m_server(callerServer(settings), [this](const http_request &request) { return handle(request); })
-{
-}
+    , m_server(callerServer(settings),
+               [this](const http_request &request) { return handle(request); })
+{ }
 
 void gateway::drain()
 {
@@ -116,8 +121,8 @@
     }
     const auto answer = m_router.route(parsed.value());
     const auto duration = boot_clock::now() - now;
-    const bool isKnown = answer.reason != error_kind::UnknownService
-            && answer.reason != error_kind::UnknownKind;
+    const bool isKnown =
+            answer.reason != error_kind::UnknownService && answer.reason != error_kind::UnknownKind;
     // Names that callers made up must not become labels.
     m_metrics->countRequest(isKnown ? parsed.value().service : "unknown",
                             isKnown ? parsed.value().kind : "unknown", answer.reason, duration);
--- a/src/routing/internal/ledgerclient.cpp
+++ b/src/routing/internal/ledgerclient.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ADMIT_TIMEOUT{250};
-constexpr std::chrono::milliseconds REPORT_TIMEOUT{500};
-constexpr std::chrono::milliseconds REPORT_RETRY{100};
-constexpr std::chrono::seconds REPORT_LIMIT{30};
-constexpr std::chrono::milliseconds STOP_WAIT{1000};
+constexpr std::chrono::milliseconds ADMIT_TIMEOUT {250};
+constexpr std::chrono::milliseconds REPORT_TIMEOUT {500};
+constexpr std::chrono::milliseconds REPORT_RETRY {100};
+constexpr std::chrono::seconds REPORT_LIMIT {30};
+constexpr std::chrono::milliseconds STOP_WAIT {1000};
 constexpr std::size_t MAX_OPEN_REPORTS = 100000;
 
 } // namespace
@@ -19,8 +19,7 @@
                              std::shared_ptr<i_routing_table> routes)
     : m_peers(std::move(peers))
     , m_routes(std::move(routes))
-{
-}
+{ }
 
 ledger_client::~ledger_client()
 {
@@ -48,7 +47,8 @@
 result<admit_reply> ledger_client::admit(const instance_id &leader, const admit_request &request,
                                          instant deadline)
 {
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - boot_clock::now());
+    const auto remaining =
+            std::chrono::duration_cast<std::chrono::milliseconds>(deadline - boot_clock::now());
     const auto timeout = std::min(ADMIT_TIMEOUT, remaining);
     if (timeout <= std::chrono::milliseconds::zero())
         return make_error_code(error_kind::PeerUnreachable);
@@ -77,8 +77,9 @@
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
         const auto now = boot_clock::now();
-        const auto due = std::find_if(m_open.begin(), m_open.end(),
-                                      [now](const open_report &item) { return item.nextTry <= now; });
+        const auto due = std::find_if(m_open.begin(), m_open.end(), [now](const open_report &item) {
+            return item.nextTry <= now;
+        });
         if (due == m_open.end()) {
             m_wake.wait_for(lock, m_open.empty() ? STOP_WAIT : REPORT_RETRY / 4);
             continue;
@@ -108,8 +109,8 @@
     const auto &leader = found->second.shards[report.shard.index].leader;
     m_peers->request(leader, report, REPORT_TIMEOUT,
                      [done = std::move(done)](const result<peer_message> &reply) {
-                         const auto *accepted
-                                 = reply ? std::get_if<outcome_reply>(&reply.value()) : nullptr;
+                         const auto *accepted =
+                                 reply ? std::get_if<outcome_reply>(&reply.value()) : nullptr;
                          done(accepted && accepted->accepted);
                      });
 }
--- a/src/routing/internal/requestrouter.cpp
+++ b/src/routing/internal/requestrouter.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 /// Delays between two tries to find the owner while a slot moves.
-constexpr std::chrono::milliseconds FIRST_DELAY{3};
-constexpr std::chrono::milliseconds MAX_DELAY{40};
+constexpr std::chrono::milliseconds FIRST_DELAY {3};
+constexpr std::chrono::milliseconds MAX_DELAY {40};
 
 /// Delay between two questions about a copy of the request that is still running.
-constexpr std::chrono::milliseconds RUNNING_DELAY{20};
+constexpr std::chrono::milliseconds RUNNING_DELAY {20};
 
 /// Longest deadline of an idempotent request that needs a permit; below the permits' life.
-constexpr std::chrono::milliseconds MAX_PERMIT_DEADLINE{900};
+constexpr std::chrono::milliseconds MAX_PERMIT_DEADLINE {900};
 
 routed_answer failure(error_kind reason)
 {
@@ -55,7 +55,9 @@
 class backoff
 {
 public:
-    explicit backoff(instant deadline) : m_deadline(deadline) { }
+    explicit backoff(instant deadline)
+        : m_deadline(deadline)
+    { }
 
     /// @return when the next try is due, or nothing if the deadline comes first.
     std::optional<instant> next()
@@ -100,8 +102,7 @@
     , m_services(std::move(services))
     , m_ledger(m_services.peers, m_services.routes)
     , m_random(makeSystemSeededSource())
-{
-}
+{ }
 
 std::uint64_t request_router::newToken()
 {
@@ -122,7 +123,7 @@
     const auto kind = service->second.kinds.find(request.kind);
     if (kind == service->second.kinds.end())
         return finish(request, failure(error_kind::UnknownKind));
-    routed_request routed{request, service->second, kind->second, {}};
+    routed_request routed {request, service->second, kind->second, {}};
     routed.slot = slotOf(request.key, service->second.slots);
     routed.shard = {request.service, service->second.shardOfSlot(routed.slot)};
     routed.fingerprint = request.fingerprint();
@@ -161,7 +162,7 @@
             reason = static_cast<error_kind>(reply.value().reason);
             return std::nullopt;
         }
-        return send_permit{reply.value().owner, reply.value().epoch, reply.value().term};
+        return send_permit {reply.value().owner, reply.value().epoch, reply.value().term};
     }
     const auto view = m_services.routes->view();
     const auto route = view->services.find(request.caller.service);
@@ -170,7 +171,7 @@
     const auto &slot = route->second.slots[request.slot];
     if (slot.owner.empty())
         return std::nullopt;
-    return send_permit{slot.owner, slot.epoch, 0};
+    return send_permit {slot.owner, slot.epoch, 0};
 }
 
 routed_answer request_router::routeIdempotent(const routed_request &request)
@@ -188,8 +189,8 @@
                 return result;
             }
             reason = answer.reason;
-            const bool isLost = reason == error_kind::ConnectionLost
-                    || reason == error_kind::AnswerIncomplete;
+            const bool isLost =
+                    reason == error_kind::ConnectionLost || reason == error_kind::AnswerIncomplete;
             if (isLost && !m_retries.withdraw())
                 return failure(reason);
             if (!isLost && !isTransient(reason))
@@ -241,7 +242,7 @@
             return failure(reason);
         if (reply && reply.value().decision == admission::Run) {
             const auto &permitted = reply.value();
-            const send_permit permit{permitted.owner, permitted.epoch, permitted.term};
+            const send_permit permit {permitted.owner, permitted.epoch, permitted.term};
             const auto answer = sendOnce(request, permit);
             reportOutcome(request, token, answer);
             if (answer.reason == error_kind::None) {
@@ -305,7 +306,8 @@
     const auto duration = boot_clock::now() - sentAt;
     if (answer.reason == error_kind::None)
         queue->releaseAnswered(duration);
-    else if (answer.reason == error_kind::Overloaded || answer.reason == error_kind::DeadlineExceeded)
+    else if (answer.reason == error_kind::Overloaded
+             || answer.reason == error_kind::DeadlineExceeded)
         queue->releaseOverloaded();
     else
         queue->release();
@@ -330,7 +332,8 @@
     m_services.quarantine->noteCrash(request.caller.service, request.fingerprint);
     for (const auto &entry : m_services.plane->listings()) {
         if (entry.role == listed_role::Instance && entry.id != m_self.instance)
-            m_services.peers->send(entry.id, crash_report{request.caller.service, request.fingerprint});
+            m_services.peers->send(entry.id,
+                                   crash_report {request.caller.service, request.fingerprint});
     }
 }
 
--- a/src/routing/internal/requestrouter.h
+++ b/src/routing/internal/requestrouter.h
@@ -86,7 +86,7 @@
     router_services m_services;
     ledger_client m_ledger;
     retry_budget m_retries;
-    ordered_mutex m_queueMutex{lock_rank::RoutingTable};
+    ordered_mutex m_queueMutex {lock_rank::RoutingTable};
     std::map<target_id, std::shared_ptr<target_queue>> m_queues;
     std::mutex m_randomMutex;
     random_source m_random;
--- a/src/routing/internal/targetqueue.cpp
+++ b/src/routing/internal/targetqueue.cpp
@@ -13,8 +13,7 @@
 target_queue::target_queue(std::uint32_t maxConcurrency, std::uint32_t maxWaiting)
     : m_limit(maxConcurrency)
     , m_maxWaiting(maxWaiting)
-{
-}
+{ }
 
 void target_queue::setLimits(std::uint32_t maxConcurrency, std::uint32_t maxWaiting)
 {
@@ -66,10 +65,9 @@
 /// Makes room by dropping the newest waiter of the longest flow, if that is not the flow itself.
 bool target_queue::evictFor(const flow_id &flow)
 {
-    const auto longest = std::max_element(m_waitingByFlow.begin(), m_waitingByFlow.end(),
-                                          [](const auto &left, const auto &right) {
-                                              return left.second < right.second;
-                                          });
+    const auto longest = std::max_element(
+            m_waitingByFlow.begin(), m_waitingByFlow.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
     if (longest == m_waitingByFlow.end() || longest->second <= waitingOf(flow) + 1)
         return false;
     const auto victim = std::find_if(m_waiting.rbegin(), m_waiting.rend(), [&](const waiter *item) {
@@ -131,4 +129,10 @@
     admitNext();
 }
 
+std::size_t target_queue::waiting()
+{
+    const ordered_lock lock(m_mutex);
+    return m_waiting.size();
+}
+
 } // namespace clementinebeam
--- a/src/routing/internal/targetqueue.h
+++ b/src/routing/internal/targetqueue.h
@@ -50,6 +50,9 @@
     /// Frees a place without a conclusion about the target.
     void release();
 
+    /// @return the number of waiting requests.
+    std::size_t waiting();
+
 private:
     struct waiter {
         flow_id flow;
@@ -67,7 +70,7 @@
     std::size_t waitingOf(const flow_id &flow) const;
     std::chrono::microseconds expectedWait() const;
 
-    ordered_mutex m_mutex{lock_rank::RoutingTable};
+    ordered_mutex m_mutex {lock_rank::RoutingTable};
     concurrency_limit m_limit;
     std::uint32_t m_maxWaiting;
     std::uint32_t m_running = 0;
--- a/src/standins/platform/platformlog.cpp
+++ b/src/standins/platform/platformlog.cpp
@@ -14,7 +14,8 @@
     return offset;
 }
 
-log_batch platform_log::read(const std::string &stream, log_offset from, std::size_t most, instant now)
+log_batch platform_log::read(const std::string &stream, log_offset from, std::size_t most,
+                             instant now)
 {
     const std::lock_guard lock(m_mutex);
     auto &state = m_streams[stream];
--- a/src/standins/platform/platformlog.h
+++ b/src/standins/platform/platformlog.h
@@ -13,7 +13,9 @@
 class platform_log
 {
 public:
-    explicit platform_log(std::chrono::milliseconds retention) : m_retention(retention) { }
+    explicit platform_log(std::chrono::milliseconds retention)
+        : m_retention(retention)
+    { }
 
     /// @return the record's offset.
     log_offset append(const std::string &stream, std::string payload, instant now);
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -49,13 +49,14 @@
 
 } // namespace
 
-platform_server::platform_server(const network_address &address, std::chrono::milliseconds retention,
+platform_server::platform_server(const network_address &address,
+                                 std::chrono::milliseconds retention,
                                  std::chrono::milliseconds listLag)
     : m_log(retention)
     , m_listLag(listLag)
-    , m_server(serverSettings(address), [this](const http_request &request) { return handle(request); })
-{
-}
+    , m_server(serverSettings(address),
+               [this](const http_request &request) { return handle(request); })
+{ }
 
 platform_faults platform_server::faults()
 {
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -10,9 +10,9 @@
 
 /// Faults that the stand-in shows until told otherwise.
 struct platform_faults {
-    bool isDown = false;           ///< Answers nothing useful; appends have no effect.
-    bool losesAnswers = false;     ///< Appends take effect but are answered with an error.
-    std::chrono::milliseconds delay{0};
+    bool isDown = false;       ///< Answers nothing useful; appends have no effect.
+    bool losesAnswers = false; ///< Appends take effect but are answered with an error.
+    std::chrono::milliseconds delay {0};
     bool isListFrozen = false; ///< The instance list shows no changes.
 };
 
--- a/src/standins/target/leaseholder.cpp
+++ b/src/standins/target/leaseholder.cpp
@@ -9,8 +9,7 @@
     : m_incarnation(incarnation)
     , m_nextNonce(std::max<std::uint64_t>(1, firstNonce))
     , m_warmUp(warmUp)
-{
-}
+{ }
 
 bool lease_holder::expire(instant now)
 {
@@ -21,8 +20,8 @@
     return true;
 }
 
-control_reply lease_holder::apply(const control_request &request, const running_predicate &isRunning,
-                                  instant now)
+control_reply lease_holder::apply(const control_request &request,
+                                  const running_predicate &isRunning, instant now)
 {
     expire(now);
     if (std::pair(request.term, request.sequence) <= std::pair(m_term, m_sequence))
@@ -98,8 +97,8 @@
     return since != m_preparedSince.end() && now - since->second >= m_warmUp;
 }
 
-error_kind lease_holder::check(slot_index slot, epoch_number epoch, term_number term, bool isAdmitted,
-                               instant now)
+error_kind lease_holder::check(slot_index slot, epoch_number epoch, term_number term,
+                               bool isAdmitted, instant now)
 {
     expire(now);
     const auto held = m_held.find(slot);
--- a/src/standins/target/targetserver.cpp
+++ b/src/standins/target/targetserver.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds COLD_PERIOD{300};
-constexpr std::chrono::microseconds EXECUTION_STEP{1000};
+constexpr std::chrono::milliseconds COLD_PERIOD {300};
+constexpr std::chrono::microseconds EXECUTION_STEP {1000};
 
 server_settings serverSettings(const target_behaviour &behaviour)
 {
@@ -40,7 +40,8 @@
     , m_slots(m_behaviour.slots, m_behaviour.maxQueue)
     , m_leases(seed, seed, m_behaviour.warmUp)
     , m_random(seed)
-    , m_server(serverSettings(m_behaviour), [this](const http_request &request) { return handle(request); })
+    , m_server(serverSettings(m_behaviour),
+               [this](const http_request &request) { return handle(request); })
 {
     m_history.write({{"event", "start"}, {"target", m_behaviour.id}});
 }
@@ -100,7 +101,8 @@
                          {"target", m_behaviour.id},
                          {"lease_until_us", microseconds(m_leases.leaseUntil())}});
     const auto before = m_leases.held();
-    auto reply = m_leases.apply(message.value(), [this](slot_index slot) { return isRunning(slot); }, now);
+    auto reply = m_leases.apply(
+            message.value(), [this](slot_index slot) { return isRunning(slot); }, now);
     reply.draining = m_draining;
     reply.running = static_cast<std::uint32_t>(m_slots.running());
     reply.queued = static_cast<std::uint32_t>(m_slots.queued());
@@ -170,12 +172,9 @@
     }
     response.headers.add("X-Outcome", "answered");
     response.headers.add("Content-Type", "application/json");
-    response.body = nlohmann::json{{"target", m_behaviour.id},
-                                   {"key", head.key},
-                                   {"kind", head.kind},
-                                   {"request_id", head.requestId},
-                                   {"echo", request.body},
-                                   {"execution", ++m_executions}}
+    response.body = nlohmann::json {{"target", m_behaviour.id}, {"key", head.key},
+                                    {"kind", head.kind},        {"request_id", head.requestId},
+                                    {"echo", request.body},     {"execution", ++m_executions}}
                             .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
@@ -184,7 +183,8 @@
 {
     const std::lock_guard lock(m_mutex);
     if (m_behaviour.checksGrants) {
-        const auto reason = m_leases.check(head.slot, head.epoch, head.term, false, boot_clock::now());
+        const auto reason =
+                m_leases.check(head.slot, head.epoch, head.term, false, boot_clock::now());
         if (reason != error_kind::None)
             return reason;
     }
@@ -223,7 +223,8 @@
 {
     const std::lock_guard lock(m_mutex);
     if (m_behaviour.checksGrants) {
-        const auto reason = m_leases.check(head.slot, head.epoch, head.term, true, boot_clock::now());
+        const auto reason =
+                m_leases.check(head.slot, head.epoch, head.term, true, boot_clock::now());
         if (reason != error_kind::None)
             return reason;
     }
--- a/src/standins/target/workerslots.cpp
+++ b/src/standins/target/workerslots.cpp
@@ -8,7 +8,8 @@
     if (m_free == 0 && m_queued >= m_maxQueue)
         return entry::Shed;
     ++m_queued;
-    const bool got = m_wake.wait_for(lock, deadline - boot_clock::now(), [this] { return m_free > 0; });
+    const bool got =
+            m_wake.wait_for(lock, deadline - boot_clock::now(), [this] { return m_free > 0; });
     --m_queued;
     if (!got)
         return entry::Late;
--- a/src/standins/target/workerslots.h
+++ b/src/standins/target/workerslots.h
@@ -11,7 +11,10 @@
 class worker_slots
 {
 public:
-    worker_slots(std::size_t slots, std::size_t maxQueue) : m_free(slots), m_maxQueue(maxQueue) { }
+    worker_slots(std::size_t slots, std::size_t maxQueue)
+        : m_free(slots)
+        , m_maxQueue(maxQueue)
+    { }
 
     enum class entry {
         Admitted,
--- a/src/targets/internal/grantproxy.cpp
+++ b/src/targets/internal/grantproxy.cpp
@@ -31,7 +31,8 @@
 {
     for (const auto slot : request.revokes) {
         const auto permit = m_permitEnd.find(slot);
-        const auto permitEnd = permit == m_permitEnd.end() ? m_createdAt + m_permitLife : permit->second;
+        const auto permitEnd =
+                permit == m_permitEnd.end() ? m_createdAt + m_permitLife : permit->second;
         if (now >= permitEnd && !isRunning(slot))
             m_held.erase(slot);
     }
--- a/src/targets/internal/httptargetclient.cpp
+++ b/src/targets/internal/httptargetclient.cpp
@@ -23,8 +23,8 @@
     http_request message;
     message.method = "POST";
     message.path = "/requests";
-    const auto remaining
-            = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - boot_clock::now());
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+            request.deadline - boot_clock::now());
     message.headers.add("X-Service", request.service);
     message.headers.add("X-Key", request.key);
     message.headers.add("X-Kind", request.kind);
@@ -34,7 +34,8 @@
     message.headers.add("X-Slot", std::to_string(request.slot));
     message.headers.add("X-Epoch", std::to_string(request.epoch));
     message.headers.add("X-Term", std::to_string(request.term));
-    message.headers.add("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, remaining.count())));
+    message.headers.add("X-Deadline-Ms",
+                        std::to_string(std::max<std::int64_t>(1, remaining.count())));
     if (!request.contentType.empty())
         message.headers.add("Content-Type", request.contentType);
     message.body = request.body;
@@ -73,8 +74,7 @@
 
 http_target_client::http_target_client(std::size_t connectionsPerTarget)
     : m_connectionsPerTarget(connectionsPerTarget)
-{
-}
+{ }
 
 void http_target_client::setTargets(const std::vector<target_address> &targets)
 {
@@ -135,7 +135,7 @@
     http_request message;
     message.method = "POST";
     message.path = "/cancel/" + exchangeId;
-    constexpr std::chrono::milliseconds CANCEL_TIMEOUT{500};
+    constexpr std::chrono::milliseconds CANCEL_TIMEOUT {500};
     postControl(target, std::move(message), CANCEL_TIMEOUT, [](const result<control_reply> &) {});
 }
 
--- /dev/null
+++ b/tests/contract/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE contract
+#include <boost/test/unit_test.hpp>
--- a/tests/model/modelinstance.cpp
+++ b/tests/model/modelinstance.cpp
@@ -6,19 +6,22 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TICK{50};
-constexpr std::chrono::milliseconds READ_INTERVAL{100};
-constexpr std::chrono::milliseconds READ_TIMEOUT{500};
-constexpr std::chrono::milliseconds CONTROL_TIMEOUT{200};
+constexpr std::chrono::milliseconds TICK {50};
+constexpr std::chrono::milliseconds READ_INTERVAL {100};
+constexpr std::chrono::milliseconds READ_TIMEOUT {500};
+constexpr std::chrono::milliseconds CONTROL_TIMEOUT {200};
 
 /// Wall clocks of all processes agree to within this skew.
-constexpr std::chrono::hours WALL_BASE{450000};
+constexpr std::chrono::hours WALL_BASE {450000};
 
 /// Carries the requests of one instance over the virtual network.
 class virtual_transport : public i_peer_transport
 {
 public:
-    virtual_transport(model_system &system, model_instance &self) : m_system(system), m_self(self) { }
+    virtual_transport(model_system &system, model_instance &self)
+        : m_system(system)
+        , m_self(self)
+    { }
 
     void setPeers(const std::vector<peer_address> &) override { }
     void setMessageHandler(peer_message_handler) override { }
@@ -65,8 +68,7 @@
 public:
     void countRequest(const service_name &, const std::string &, error_kind,
                       std::chrono::microseconds) override
-    {
-    }
+    { }
     void countDrop(std::string_view) override { }
     void countRetry(const service_name &, std::string_view) override { }
     void countMoves(const service_name &, std::string_view, std::size_t) override { }
@@ -81,11 +83,13 @@
 
 wall_time virtual_clock::wall() const
 {
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch());
+    const auto since =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch());
     return wall_time(WALL_BASE + since);
 }
 
-model_instance::model_instance(model_system &system, std::size_t index, const daemon_settings &settings)
+model_instance::model_instance(model_system &system, std::size_t index,
+                               const daemon_settings &settings)
     : m_system(system)
     , m_index(index)
     , m_settings(settings)
@@ -110,10 +114,16 @@
     std::vector<listing> listings;
     for (std::size_t index = 0; index < m_system.options.instances; ++index) {
         const auto centre = "dc" + std::to_string(index % 3);
-        listings.push_back({"i" + std::to_string(index), listed_role::Instance, false, centre, {}, 0, ""});
+        listings.push_back(
+                {"i" + std::to_string(index), listed_role::Instance, false, centre, {}, 0, ""});
     }
     for (std::size_t index = 0; index < m_system.options.targets; ++index)
-        listings.push_back({"t" + std::to_string(index), listed_role::Target, false, "dc0", {}, 0,
+        listings.push_back({"t" + std::to_string(index),
+                            listed_role::Target,
+                            false,
+                            "dc0",
+                            {},
+                            0,
                             model_system::SHARD.service});
     m_shards->update(configuration, listings, now());
     tickLoop();
@@ -156,21 +166,24 @@
     };
     m_system.network.after(process, READ_TIMEOUT, again);
     const auto incarnation = m_self;
-    m_system.network.send(process, m_system.log, [this, readStart, from, isDone, again, incarnation] {
-        if (m_system.isLogDown)
-            return;
-        const auto &all = m_system.records();
-        const std::vector<ownership_record> records(
-                all.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(from, all.size())),
-                all.end());
-        m_system.network.send(m_system.log, process, [this, readStart, from, records, isDone, again,
-                                                      incarnation] {
-            if (*isDone || incarnation != m_self)
-                return;
-            applyRead(readStart, from, records);
-            again();
-        });
-    });
+    m_system.network.send(
+            process, m_system.log, [this, readStart, from, isDone, again, incarnation] {
+                if (m_system.isLogDown)
+                    return;
+                const auto &all = m_system.records();
+                const std::vector<ownership_record> records(
+                        all.begin()
+                                + static_cast<std::ptrdiff_t>(
+                                        std::min<std::size_t>(from, all.size())),
+                        all.end());
+                m_system.network.send(m_system.log, process,
+                                      [this, readStart, from, records, isDone, again, incarnation] {
+                                          if (*isDone || incarnation != m_self)
+                                              return;
+                                          applyRead(readStart, from, records);
+                                          again();
+                                      });
+            });
 }
 
 void model_instance::applyRead(instant readStart, log_offset from,
@@ -252,17 +265,19 @@
         return;
     network.send(process, target->process, [this, target, action, isDone, sequence, self = m_self] {
         const auto reply = m_system.applyControl(*target, action.request);
-        m_system.network.send(target->process, process, [this, target, reply, isDone, sequence, self] {
-            if (self != m_self || std::exchange(*isDone, true))
-                return;
-            action_list actions;
-            {
-                const ordered_lock lock(m_shards->mutex());
-                m_shards->find(model_system::SHARD)
-                        ->controller.onTargetReply(target->id, sequence, reply, now(), actions);
-            }
-            run(actions);
-        });
+        m_system.network.send(target->process, process,
+                              [this, target, reply, isDone, sequence, self] {
+                                  if (self != m_self || std::exchange(*isDone, true))
+                                      return;
+                                  action_list actions;
+                                  {
+                                      const ordered_lock lock(m_shards->mutex());
+                                      m_shards->find(model_system::SHARD)
+                                              ->controller.onTargetReply(target->id, sequence,
+                                                                         reply, now(), actions);
+                                  }
+                                  run(actions);
+                              });
     });
 }
 
--- a/tests/model/modelinstance.h
+++ b/tests/model/modelinstance.h
@@ -18,8 +18,7 @@
     virtual_clock(const virtual_network &network, const virtual_process &process)
         : m_network(network)
         , m_process(process)
-    {
-    }
+    { }
 
     instant now() const override { return m_network.clockOf(m_process); }
     wall_time wall() const override;
@@ -55,7 +54,8 @@
 private:
     void tickLoop();
     void readLoop();
-    void applyRead(instant readStart, log_offset from, const std::vector<ownership_record> &records);
+    void applyRead(instant readStart, log_offset from,
+                   const std::vector<ownership_record> &records);
     void run(const action_list &actions);
     void sendControl(const target_action &action);
 
--- a/tests/model/modelsystem.cpp
+++ b/tests/model/modelsystem.cpp
@@ -12,11 +12,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds ISOLATION_LIMIT{3000};
-constexpr milliseconds REQUEST_LIFE{60000};
-constexpr milliseconds REQUEST_DEADLINE{1500};
-constexpr milliseconds ADMIT_TIMEOUT{250};
-constexpr milliseconds RETRY_DELAY{20};
+constexpr milliseconds ISOLATION_LIMIT {3000};
+constexpr milliseconds REQUEST_LIFE {60000};
+constexpr milliseconds REQUEST_DEADLINE {1500};
+constexpr milliseconds ADMIT_TIMEOUT {250};
+constexpr milliseconds RETRY_DELAY {20};
 constexpr int MAX_COPIES = 3;
 
 daemon_settings instanceSettings(const model_options &options, std::size_t index)
@@ -34,13 +34,15 @@
 
 } // namespace
 
-const shard_id model_system::SHARD{"orders", 0};
+const shard_id model_system::SHARD {"orders", 0};
 
 model_system::model_system(const model_options &given)
     : network(given.seed)
     , options(given)
 {
-    const auto drift = [this] { return 1.0 + options.clockDrift * (2.0 * network.uniform() - 1.0); };
+    const auto drift = [this] {
+        return 1.0 + options.clockDrift * (2.0 * network.uniform() - 1.0);
+    };
     for (std::size_t index = 0; index < options.instances; ++index) {
         instances.push_back(
                 std::make_unique<model_instance>(*this, index, instanceSettings(options, index)));
@@ -59,7 +61,8 @@
 void model_system::startTarget(model_target &target)
 {
     const auto incarnation = network.below(1U << 30U) + 1;
-    target.leases = std::make_unique<lease_holder>(incarnation, incarnation << 20U, milliseconds(30));
+    target.leases =
+            std::make_unique<lease_holder>(incarnation, incarnation << 20U, milliseconds(30));
     target.running.clear();
 }
 
@@ -126,8 +129,8 @@
         for (const auto &[slot, epoch] : target->leases->held()) {
             const auto [owner, isFirst] = owners.try_emplace(slot, target->id);
             if (!isFirst)
-                violate("slot " + std::to_string(slot) + " has two owners: " + owner->second + " and "
-                        + target->id);
+                violate("slot " + std::to_string(slot) + " has two owners: " + owner->second
+                        + " and " + target->id);
         }
     }
 }
@@ -143,8 +146,8 @@
 void model_system::violate(const std::string &text)
 {
     const auto at = std::chrono::duration_cast<milliseconds>(network.now().time_since_epoch());
-    m_violations.push_back("seed " + std::to_string(options.seed) + " at " + std::to_string(at.count())
-                           + " ms: " + text);
+    m_violations.push_back("seed " + std::to_string(options.seed) + " at "
+                           + std::to_string(at.count()) + " ms: " + text);
 }
 
 void model_system::run()
@@ -199,7 +202,7 @@
 
 void model_system::cutSome()
 {
-    std::vector<std::string> names{"log"};
+    std::vector<std::string> names {"log"};
     for (const auto &instance : instances)
         names.push_back(instance->process.name);
     for (const auto &target : targets)
@@ -288,7 +291,8 @@
         replay.apply(offset, m_log[offset]);
     const auto *state = replay.find(SHARD);
     for (slot_index slot = 0; slot < options.slots; ++slot) {
-        const auto *target = slot < state->slots.size() ? findTarget(state->slots[slot].owner) : nullptr;
+        const auto *target =
+                slot < state->slots.size() ? findTarget(state->slots[slot].owner) : nullptr;
         const bool isServed = target
                 && target->leases->check(slot, state->slots[slot].epoch, 0, false,
                                          network.clockOf(target->process))
@@ -302,7 +306,8 @@
 {
     for (const auto &request : m_requests) {
         if (request.executions > 1)
-            violate("request " + request.id + " ran " + std::to_string(request.executions) + " times");
+            violate("request " + request.id + " ran " + std::to_string(request.executions)
+                    + " times");
         if (request.answers > 0 && request.executions == 0)
             violate("request " + request.id + " was answered but did not run");
         const bool onlyNotRun = request.copies == 1 && request.notRunAnswers > 0;
@@ -359,8 +364,13 @@
     auto *leader = state ? findInstance(state->leader.instance) : nullptr;
     if (!leader)
         return retryOrEnd(copy);
-    admit_request message{SHARD, request.id, hashOf(request.id), copy->token, request.slot,
-                          std::chrono::duration_cast<milliseconds>(copy->deadline - network.now()).count()};
+    admit_request message {
+            SHARD,
+            request.id,
+            hashOf(request.id),
+            copy->token,
+            request.slot,
+            std::chrono::duration_cast<milliseconds>(copy->deadline - network.now()).count()};
     auto isDone = std::make_shared<bool>(false);
     const auto finish = [this, copy, isDone](const result<peer_message> &reply) {
         if (!std::exchange(*isDone, true))
@@ -372,16 +382,18 @@
                  [this, leader, &instance, from = instance.self(), message, finish] {
                      const auto respond = [this, leader, &instance, from,
                                            finish](const peer_message &reply) {
-                         network.send(leader->process, instance.process, [&instance, from, finish, reply] {
-                             if (instance.self() == from)
-                                 finish(reply);
-                         });
+                         network.send(leader->process, instance.process,
+                                      [&instance, from, finish, reply] {
+                                          if (instance.self() == from)
+                                              finish(reply);
+                                      });
                      };
                      leader->handleRequest(from, message, respond);
                  });
 }
 
-void model_system::onAdmission(const std::shared_ptr<copy_state> &copy, const result<peer_message> &reply)
+void model_system::onAdmission(const std::shared_ptr<copy_state> &copy,
+                               const result<peer_message> &reply)
 {
     if (copy->isDone)
         return;
@@ -414,7 +426,8 @@
         report(copy, given, ledger_state::NotRun);
         return endCopy(copy, ledger_state::NotRun);
     }
-    network.after(instances[copy->instance]->process, RETRY_DELAY, [this, copy] { askLeader(copy); });
+    network.after(instances[copy->instance]->process, RETRY_DELAY,
+                  [this, copy] { askLeader(copy); });
 }
 
 void model_system::execute(const std::shared_ptr<copy_state> &copy, const admit_reply &permit)
@@ -435,23 +448,25 @@
     });
     const auto self = instance.self();
     const auto answer = [this, copy, permit, isDone, target, self, &instance](bool ran) {
-        network.send(target->process, instance.process, [this, copy, permit, isDone, ran, self, &instance] {
-            if (instance.self() != self || std::exchange(*isDone, true))
-                return;
-            report(copy, permit, ran ? ledger_state::Answered : ledger_state::NotRun);
-            if (ran)
-                return endCopy(copy, ledger_state::Answered);
-            copy->token = network.below(SIZE_MAX);
-            retryOrEnd(copy);
-        });
+        network.send(target->process, instance.process,
+                     [this, copy, permit, isDone, ran, self, &instance] {
+                         if (instance.self() != self || std::exchange(*isDone, true))
+                             return;
+                         report(copy, permit, ran ? ledger_state::Answered : ledger_state::NotRun);
+                         if (ran)
+                             return endCopy(copy, ledger_state::Answered);
+                         copy->token = network.below(SIZE_MAX);
+                         retryOrEnd(copy);
+                     });
     };
     // A request travels over TCP, so it is not doubled; the model doubles it nevertheless only if
     // an instance would.
     auto wasDelivered = std::make_shared<bool>(false);
-    network.send(instance.process, target->process, [this, copy, permit, target, answer, wasDelivered] {
-        if (!std::exchange(*wasDelivered, true))
-            runOnTarget(copy, permit, *target, answer);
-    });
+    network.send(instance.process, target->process,
+                 [this, copy, permit, target, answer, wasDelivered] {
+                     if (!std::exchange(*wasDelivered, true))
+                         runOnTarget(copy, permit, *target, answer);
+                 });
 }
 
 void model_system::runOnTarget(const std::shared_ptr<copy_state> &copy, const admit_reply &permit,
@@ -466,15 +481,16 @@
     if (!check(false))
         return answer(false);
     ++target.running[slot];
-    network.after(target.process, network.millis(1, 40), [this, copy, &target, slot, check, answer] {
-        --target.running[slot];
-        const bool commits = check(true);
-        trace(m_requests[copy->request].id + (commits ? " ran on " : " undone on ") + target.id
-              + " for i" + std::to_string(copy->instance));
-        if (commits)
-            ++m_requests[copy->request].executions;
-        answer(commits);
-    });
+    network.after(target.process, network.millis(1, 40),
+                  [this, copy, &target, slot, check, answer] {
+                      --target.running[slot];
+                      const bool commits = check(true);
+                      trace(m_requests[copy->request].id + (commits ? " ran on " : " undone on ")
+                            + target.id + " for i" + std::to_string(copy->instance));
+                      if (commits)
+                          ++m_requests[copy->request].executions;
+                      answer(commits);
+                  });
 }
 
 void model_system::report(const std::shared_ptr<copy_state> &copy, const admit_reply &permit,
@@ -486,14 +502,16 @@
     if (!leader)
         return;
     const auto &request = m_requests[copy->request];
-    outcome_report message{SHARD, request.id, request.slot, permit.token, state, {}};
+    outcome_report message {SHARD, request.id, request.slot, permit.token, state, {}};
     auto isAccepted = std::make_shared<bool>(false);
     network.send(instance.process, leader->process, [this, leader, &instance, message, isAccepted] {
-        leader->handleRequest(instance.self(), message, [this, leader, &instance, isAccepted](peer_message reply) {
-            if (!std::get<outcome_reply>(reply).accepted)
-                return;
-            network.send(leader->process, instance.process, [isAccepted] { *isAccepted = true; });
-        });
+        leader->handleRequest(instance.self(), message,
+                              [this, leader, &instance, isAccepted](peer_message reply) {
+                                  if (!std::get<outcome_reply>(reply).accepted)
+                                      return;
+                                  network.send(leader->process, instance.process,
+                                               [isAccepted] { *isAccepted = true; });
+                              });
     });
     network.after(instance.process, ADMIT_TIMEOUT, [this, copy, permit, state, isAccepted] {
         if (!*isAccepted && m_faultsOn)
