--- a/include/clementinebeam/assignment/policycatalogue.h
+++ b/include/clementinebeam/assignment/policycatalogue.h
@@ -37,9 +37,9 @@
 class policy_registration
 {
 public:
-    explicit policy_registration(std::string name)
+    explicit policy_registration(const std::string &name)
     {
-        policy_catalogue::instance().add(std::move(name), [](const policy_limits &limits) {
+        policy_catalogue::instance().add(name, [](const policy_limits &limits) {
             return std::make_unique<policy_type>(limits);
         });
     }
--- a/include/clementinebeam/coordination/shardcontroller.h
+++ b/include/clementinebeam/coordination/shardcontroller.h
@@ -21,7 +21,8 @@
     /// @param settings times and limits; equal on all instances.
     /// @param policy decides which target owns which slot.
     /// @param randomSeed seed for record ids.
-    shard_controller(shard_id shard, incarnation_id self, const coordination_settings &settings,
+    shard_controller(shard_id shard, const incarnation_id &self,
+                     const coordination_settings &settings,
                      std::unique_ptr<i_assignment_policy> policy, std::uint64_t randomSeed);
     ~shard_controller();
     shard_controller(const shard_controller &) = delete;
--- a/src/configuration/internal/configurationreplay.cpp
+++ b/src/configuration/internal/configurationreplay.cpp
@@ -8,6 +8,16 @@
 
 namespace {
 
+std::string childPath(const std::string &path, const std::string &name)
+{
+    if (path.empty())
+        return name;
+    std::string child = path;
+    child += '.';
+    child += name;
+    return child;
+}
+
 void collectPaths(const nlohmann::json &patch, const std::string &path,
                   std::vector<std::string> &paths)
 {
@@ -16,7 +26,7 @@
         return;
     }
     for (const auto &[name, value] : patch.items())
-        collectPaths(value, path.empty() ? name : path + '.' + name, paths);
+        collectPaths(value, childPath(path, name), paths);
 }
 
 /// Slots and shards determine where a key's state lives, so they cannot change afterwards.
--- a/src/controlplane/internal/admissionservice.cpp
+++ b/src/controlplane/internal/admissionservice.cpp
@@ -63,7 +63,7 @@
 }
 
 void admission_service::admit(const incarnation_id &from, const admit_request &request,
-                              peer_responder respond)
+                              const peer_responder &respond)
 {
     const auto startedAt = m_clock->now();
     ledger_copy copy;
@@ -135,7 +135,7 @@
                      });
 }
 
-void admission_service::complete(const outcome_report &report, peer_responder respond)
+void admission_service::complete(const outcome_report &report, const peer_responder &respond)
 {
     ledger_copy copy;
     instance_id standby;
@@ -190,12 +190,12 @@
         chunk.horizon = entry->keeper.ledger().horizon().time_since_epoch().count();
         chunk.isComplete = true;
         chunks->push_back(std::move(chunk));
-        sendChunk(state.standby.instance, std::move(chunks), 0);
+        sendChunk(state.standby.instance, chunks, 0);
     }
 }
 
 void admission_service::sendChunk(const instance_id &standby,
-                                  std::shared_ptr<std::vector<ledger_copy>> chunks,
+                                  const std::shared_ptr<std::vector<ledger_copy>> &chunks,
                                   std::size_t index)
 {
     if (index == chunks->size())
--- a/src/controlplane/internal/admissionservice.h
+++ b/src/controlplane/internal/admissionservice.h
@@ -27,11 +27,12 @@
     /// @param from the instance that wants to send a request.
     /// @param request the request.
     /// @param respond receives an admit_reply.
-    void admit(const incarnation_id &from, const admit_request &request, peer_responder respond);
+    void admit(const incarnation_id &from, const admit_request &request,
+               const peer_responder &respond);
 
     /// @param report what became of an admitted request.
     /// @param respond receives an outcome_reply.
-    void complete(const outcome_report &report, peer_responder respond);
+    void complete(const outcome_report &report, const peer_responder &respond);
 
     /// @param from the leader.
     /// @param copy entries for this standby.
@@ -49,8 +50,8 @@
     void finishAdmission(const admit_request &request, const ledger_entry &recorded, bool copied,
                          instant startedAt, const peer_responder &respond);
     void sendCopy(const instance_id &standby, const ledger_copy &copy, copy_callback done);
-    void sendChunk(const instance_id &standby, std::shared_ptr<std::vector<ledger_copy>> chunks,
-                   std::size_t index);
+    void sendChunk(const instance_id &standby,
+                   const std::shared_ptr<std::vector<ledger_copy>> &chunks, std::size_t index);
 
     shard_table &m_shards;
     std::shared_ptr<i_peer_transport> m_peers;
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -55,7 +55,7 @@
             });
     services.peers->setRequestHandler(
             [this](const incarnation_id &from, const peer_message &message,
-                   peer_responder respond) { handleRequest(from, message, std::move(respond)); });
+                   const peer_responder &respond) { handleRequest(from, message, respond); });
     m_readThread = std::thread([this] { readLoop(); });
     m_listThread = std::thread([this] { listLoop(); });
     m_tickThread = std::thread([this] { tickLoop(); });
@@ -407,15 +407,11 @@
 }
 
 void control_plane::handleRequest(const incarnation_id &from, const peer_message &message,
-                                  peer_responder respond)
+                                  const peer_responder &respond)
 {
     std::visit(overloaded {
-                       [&](const admit_request &body) {
-                           m_admissions->admit(from, body, std::move(respond));
-                       },
-                       [&](const outcome_report &body) {
-                           m_admissions->complete(body, std::move(respond));
-                       },
+                       [&](const admit_request &body) { m_admissions->admit(from, body, respond); },
+                       [&](const outcome_report &body) { m_admissions->complete(body, respond); },
                        [&](const ledger_copy &body) { m_admissions->store(from, body, respond); },
                        [&](const state_request &body) {
                            respond(body.withState ? fullState() : position());
--- a/src/controlplane/internal/controlplane.h
+++ b/src/controlplane/internal/controlplane.h
@@ -71,7 +71,7 @@
     void handleMessage(const incarnation_id &from, const peer_message &message);
     void handleCoordination(const incarnation_id &from, const coordination_message &message);
     void handleRequest(const incarnation_id &from, const peer_message &message,
-                       peer_responder respond);
+                       const peer_responder &respond);
     state_reply fullState() const;
 
     incarnation_id m_self;
--- a/src/coordination/internal/shardcontroller.cpp
+++ b/src/coordination/internal/shardcontroller.cpp
@@ -22,7 +22,8 @@
 class shard_controller::implementation
 {
 public:
-    implementation(shard_id shard, incarnation_id self, const coordination_settings &settings,
+    implementation(shard_id shard, const incarnation_id &self,
+                   const coordination_settings &settings,
                    std::unique_ptr<i_assignment_policy> policy, std::uint64_t randomSeed)
         : m_shard(shard)
         , m_self(self)
@@ -407,12 +408,12 @@
     std::map<instance_id, std::uint64_t> m_incarnations;
 };
 
-shard_controller::shard_controller(shard_id shard, incarnation_id self,
+shard_controller::shard_controller(shard_id shard, const incarnation_id &self,
                                    const coordination_settings &settings,
                                    std::unique_ptr<i_assignment_policy> policy,
                                    std::uint64_t randomSeed)
-    : m_impl(std::make_unique<implementation>(std::move(shard), std::move(self), settings,
-                                              std::move(policy), randomSeed))
+    : m_impl(std::make_unique<implementation>(std::move(shard), self, settings, std::move(policy),
+                                              randomSeed))
 { }
 
 shard_controller::~shard_controller() = default;
--- a/src/kernel/internal/errorkind.cpp
+++ b/src/kernel/internal/errorkind.cpp
@@ -115,8 +115,8 @@
 
 const std::error_category &errorCategory() noexcept
 {
-    static const clementinebeam_category category;
-    return category;
+    static const clementinebeam_category CATEGORY;
+    return CATEGORY;
 }
 
 std::error_code make_error_code(error_kind kind) noexcept
