--- a/include/clementinebeam/coordination/coordinationtypes.h
+++ b/include/clementinebeam/coordination/coordinationtypes.h
@@ -12,18 +12,18 @@
 
 /// Times and limits of a shard's coordination.
 struct coordination_settings {
-    std::chrono::milliseconds heartbeatInterval {200};
+    std::chrono::milliseconds heartbeatInterval{200};
     std::uint32_t missedHeartbeats = 3;
-    std::chrono::milliseconds lease {1000};
-    std::chrono::milliseconds clockMargin {20}; ///< Fixed part of the allowance for clocks.
-    std::uint32_t clockDriftPpm = 1000;         ///< Bound of the relative drift of two clocks.
-    std::chrono::milliseconds isolationLimit {10000};
-    std::chrono::milliseconds probeWait {120};
-    std::chrono::milliseconds claimStagger {300};
-    std::chrono::milliseconds appendRetry {400};
-    std::chrono::milliseconds prepareLimit {500};
-    std::chrono::milliseconds planInterval {1000};
-    std::chrono::milliseconds checkpointInterval {60000};
+    std::chrono::milliseconds lease{1000};
+    std::chrono::milliseconds clockMargin{20}; ///< Fixed part of the allowance for clocks.
+    std::uint32_t clockDriftPpm = 1000;        ///< Bound of the relative drift of two clocks.
+    std::chrono::milliseconds isolationLimit{10000};
+    std::chrono::milliseconds probeWait{120};
+    std::chrono::milliseconds claimStagger{300};
+    std::chrono::milliseconds appendRetry{400};
+    std::chrono::milliseconds prepareLimit{500};
+    std::chrono::milliseconds planInterval{1000};
+    std::chrono::milliseconds checkpointInterval{60000};
 
     /// @return how long a silent party is waited for before it counts as lost.
     std::chrono::milliseconds silenceLimit() const { return heartbeatInterval * missedHeartbeats; }
@@ -193,7 +193,7 @@
     bool alive = false;
     bool draining = false;
     std::size_t heldSlots = 0;
-    boot_clock::duration sinceReply {0};
+    boot_clock::duration sinceReply{0};
 };
 
 /// A shard as one instance sees it.
--- a/include/clementinebeam/http/httpchannel.h
+++ b/include/clementinebeam/http/httpchannel.h
@@ -11,12 +11,12 @@
 
 /// Limits of a channel.
 struct channel_settings {
-    std::size_t connections = 4;                   ///< Connections that are held open.
-    std::size_t maxConnections = 16;               ///< Including those that are stuck.
-    std::chrono::milliseconds idleLimit {2000};    ///< Idle connections are renewed after it.
-    std::chrono::milliseconds stuckLimit {500};    ///< Replaced when overdue by this time.
-    std::chrono::milliseconds reconnectDelay {50}; ///< First delay after a failed attempt.
-    std::chrono::milliseconds maxReconnectDelay {500};
+    std::size_t connections = 4;                  ///< Connections that are held open.
+    std::size_t maxConnections = 16;              ///< Including those that are stuck.
+    std::chrono::milliseconds idleLimit{2000};    ///< Idle connections are renewed after it.
+    std::chrono::milliseconds stuckLimit{500};    ///< Replaced when overdue by this time.
+    std::chrono::milliseconds reconnectDelay{50}; ///< First delay after a failed attempt.
+    std::chrono::milliseconds maxReconnectDelay{500};
 };
 
 using exchange_callback = std::function<void(result<http_response>)>;
@@ -41,9 +41,11 @@
     /// Runs an exchange and waits for it.
     /// @param request the request.
     /// @param deadline when to give up.
+    /// @param sendBy when to give up if no connection was free to send the request.
     /// @return the answer; TargetUnreachable if provably no byte was sent; DeadlineExceeded or
     ///         ConnectionLost if bytes may have been sent.
-    result<http_response> exchange(http_request request, instant deadline);
+    result<http_response> exchange(http_request request, instant deadline,
+                                   instant sendBy = instant::max());
 
     /// Runs an exchange in the background.
     /// @param request the request.
--- a/include/clementinebeam/http/httpserver.h
+++ b/include/clementinebeam/http/httpserver.h
@@ -21,8 +21,8 @@
     std::size_t threads = 8;
     std::size_t maxBodyBytes = 1 << 20;
     std::size_t maxHeaderBytes = 16384;
-    std::chrono::milliseconds requestTimeout {10000};
-    std::chrono::milliseconds keepAliveTimeout {30000};
+    std::chrono::milliseconds requestTimeout{10000};
+    std::chrono::milliseconds keepAliveTimeout{30000};
     std::string certificateFile; ///< PEM file; empty for plain HTTP.
 };
 
--- a/include/clementinebeam/kernel/randomsource.h
+++ b/include/clementinebeam/kernel/randomsource.h
@@ -21,7 +21,7 @@
 inline random_source makeSystemSeededSource()
 {
     std::random_device device;
-    std::seed_seq seed {device(), device(), device(), device()};
+    std::seed_seq seed{device(), device(), device(), device()};
     return random_source(seed);
 }
 
--- a/include/clementinebeam/ledger/requestledger.h
+++ b/include/clementinebeam/ledger/requestledger.h
@@ -10,9 +10,9 @@
 
 /// Limits of a ledger.
 struct ledger_settings {
-    std::chrono::milliseconds requestIdLife {600000};
-    std::chrono::milliseconds clockSkewLimit {2000};
-    std::chrono::milliseconds reportGrace {2000}; ///< Waited after a deadline for a late report.
+    std::chrono::milliseconds requestIdLife{600000};
+    std::chrono::milliseconds clockSkewLimit{2000};
+    std::chrono::milliseconds reportGrace{2000}; ///< Waited after a deadline for a late report.
     std::size_t maxEntries = 200000;
 };
 
@@ -88,7 +88,7 @@
     void setState(record &known, ledger_state state);
 
     ledger_settings m_settings;
-    wall_time m_horizon {};
+    wall_time m_horizon{};
     std::unordered_map<std::string, record> m_entries;
     std::unordered_map<slot_index, std::size_t> m_running;
 };
--- a/include/clementinebeam/peering/peermessages.h
+++ b/include/clementinebeam/peering/peermessages.h
@@ -8,15 +8,16 @@
 
 namespace clementinebeam {
 
-/// Targets crashed or lost a connection while they ran requests with this fingerprint.
+/// A target ended while it ran a request with this fingerprint.
 struct crash_report {
     service_name service;
     std::uint64_t fingerprint = 0;
+    target_id target;
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(service, fingerprint);
+        archive(service, fingerprint, target);
     }
 };
 
--- a/include/clementinebeam/targets/controltypes.h
+++ b/include/clementinebeam/targets/controltypes.h
@@ -25,7 +25,7 @@
     std::uint64_t sequence = 0;
     instance_id holder;
     std::uint64_t nonce = 0; ///< The target's newest nonce; 0 on first contact.
-    std::chrono::milliseconds lease {0};
+    std::chrono::milliseconds lease{0};
     std::vector<slot_grant> grants;
     std::vector<slot_index> revokes;
     std::vector<slot_index> prepares; ///< Slots to warm up for.
--- a/include/clementinebeam/targets/itargetclient.h
+++ b/include/clementinebeam/targets/itargetclient.h
@@ -27,7 +27,7 @@
     slot_index slot = 0;
     epoch_number epoch = 0;
     term_number term = 0; ///< 0 for an idempotent request.
-    instant deadline {};
+    instant deadline{};
 };
 
 /// What became of a request at its target.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -98,7 +98,7 @@
     local pid="${CLUSTER_PIDS[$1]:-}"
     [ -n "$pid" ] || return 0
     kill -"${2:-TERM}" "$pid" 2>/dev/null
-    wait "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null || true
     unset "CLUSTER_PIDS[$1]"
 }
 
@@ -109,7 +109,7 @@
         kill -TERM "${CLUSTER_PIDS[$name]}" 2>/dev/null
     done
     for name in "${!CLUSTER_PIDS[@]}"; do
-        wait "${CLUSTER_PIDS[$name]}" 2>/dev/null
+        wait "${CLUSTER_PIDS[$name]}" 2>/dev/null || true
         unset "CLUSTER_PIDS[$name]"
     done
 }
--- a/src/bench/loadexperiment.cpp
+++ b/src/bench/loadexperiment.cpp
@@ -8,18 +8,19 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <tuple>
 
 namespace clementinebeam {
 
 namespace {
 
-constexpr std::chrono::milliseconds ANSWER_GRACE {500};
+constexpr std::chrono::milliseconds ANSWER_GRACE{500};
 
-/// When a key was answered last, and the longest time between two answers with a failure between.
-struct key_service {
-    instant lastAnswer {};
-    bool hasFailed = false;
-    boot_clock::duration longestOutage {0};
+/// One request's end.
+struct key_event {
+    std::size_t key = 0;
+    instant at{};
+    bool isAnswered = false;
 };
 
 /// What one connection saw.
@@ -27,7 +28,7 @@
     std::vector<std::chrono::microseconds> latencies;
     std::map<std::string, std::size_t> outcomes;
     std::map<std::string, double> loadByOwner;
-    std::map<std::size_t, key_service> keys;
+    std::vector<key_event> events;
 };
 
 /// One connection's thread.
@@ -113,7 +114,7 @@
         }
         ++m_report.outcomes[outcome];
         m_report.latencies.push_back(boot_clock::now() - intended);
-        noteKey(key, outcome == "answered");
+        m_report.events.push_back({key, boot_clock::now(), outcome == "answered"});
     }
 
     std::string note(const http_response &response, boot_clock::duration duration)
@@ -126,20 +127,6 @@
         return outcome;
     }
 
-    void noteKey(std::size_t key, bool isAnswered)
-    {
-        auto &item = m_report.keys[key];
-        const auto now = boot_clock::now();
-        if (!isAnswered) {
-            item.hasFailed = true;
-            return;
-        }
-        if (item.hasFailed && item.lastAnswer != instant())
-            item.longestOutage = std::max(item.longestOutage, now - item.lastAnswer);
-        item.lastAnswer = now;
-        item.hasFailed = false;
-    }
-
     const load_experiment &m_experiment;
     std::size_t m_number;
     instant m_start;
@@ -151,13 +138,33 @@
     connection_report m_report;
 };
 
+/// @return the longest time between two answers for one key with a failure between.
+boot_clock::duration longestOutage(std::vector<key_event> &events)
+{
+    std::sort(events.begin(), events.end(), [](const key_event &left, const key_event &right) {
+        return std::tie(left.key, left.at) < std::tie(right.key, right.at);
+    });
+    boot_clock::duration longest{0};
+    const key_event *lastAnswer = nullptr;
+    bool hasFailed = false;
+    for (const auto &event : events) {
+        const bool isSameKey = lastAnswer && lastAnswer->key == event.key;
+        if (isSameKey && event.isAnswered && hasFailed)
+            longest = std::max(longest, event.at - lastAnswer->at);
+        hasFailed = !event.isAnswered;
+        if (event.isAnswered)
+            lastAnswer = &event;
+    }
+    return longest;
+}
+
 nlohmann::json combine(const load_experiment &experiment,
                        const std::vector<std::unique_ptr<load_connection>> &connections)
 {
     std::vector<std::chrono::microseconds> latencies;
     std::map<std::string, std::size_t> outcomes;
     std::map<std::string, double> loadByOwner;
-    boot_clock::duration longestOutage {0};
+    std::vector<key_event> events;
     for (const auto &connection : connections) {
         const auto &report = connection->report();
         latencies.insert(latencies.end(), report.latencies.begin(), report.latencies.end());
@@ -165,8 +172,7 @@
             outcomes[outcome] += count;
         for (const auto &[owner, load] : report.loadByOwner)
             loadByOwner[owner] += load;
-        for (const auto &[key, item] : report.keys)
-            longestOutage = std::max(longestOutage, item.longestOutage);
+        events.insert(events.end(), report.events.begin(), report.events.end());
     }
     std::vector<double> loads;
     for (const auto &[owner, load] : loadByOwner)
@@ -184,7 +190,7 @@
             {"max_us", summary.most.count()},
             {"outcomes", outcomes},
             {"longest_outage_ms",
-             std::chrono::duration_cast<std::chrono::milliseconds>(longestOutage).count()},
+             std::chrono::duration_cast<std::chrono::milliseconds>(longestOutage(events)).count()},
             {"imbalance_max_over_mean", imbalance.maxOverMean},
             {"imbalance_variation", imbalance.variation},
     };
--- a/src/bench/loadexperiment.h
+++ b/src/bench/loadexperiment.h
@@ -17,12 +17,12 @@
     std::string kind = "browse";
     bool hasRequestId = false;
     double rate = 1000.0; ///< Requests per second over all connections; 0 for as many as possible.
-    std::chrono::milliseconds duration {10000};
-    std::chrono::milliseconds deadline {2000};
+    std::chrono::milliseconds duration{10000};
+    std::chrono::milliseconds deadline{2000};
     std::size_t connections = 16;
     std::size_t keys = 10000;
     double zipfExponent = 1.0;
-    std::chrono::milliseconds hotMoveInterval {0}; ///< 0 keeps the hottest keys.
+    std::chrono::milliseconds hotMoveInterval{0}; ///< 0 keeps the hottest keys.
     std::size_t hotKeys = 150;
     std::uint64_t seed = 1;
 };
--- a/src/bench/statistics.h
+++ b/src/bench/statistics.h
@@ -10,10 +10,10 @@
 /// Percentiles of a sample of durations.
 struct latency_summary {
     std::size_t count = 0;
-    std::chrono::microseconds p50 {0};
-    std::chrono::microseconds p99 {0};
-    std::chrono::microseconds p999 {0};
-    std::chrono::microseconds most {0};
+    std::chrono::microseconds p50{0};
+    std::chrono::microseconds p99{0};
+    std::chrono::microseconds p999{0};
+    std::chrono::microseconds most{0};
 };
 
 /// @param sample durations in any order; is sorted.
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds POLL_INTERVAL {100};
+constexpr std::chrono::milliseconds POLL_INTERVAL{100};
 
 exit_code reportFailure(const operator_answer &answer)
 {
@@ -289,7 +289,7 @@
 
 const std::vector<command> &commands()
 {
-    static const std::vector<command> COMMANDS {
+    static const std::vector<command> COMMANDS{
             {"status", "", "shows the instance and its shards", 0, 0, runStatus},
             {"services", "", "lists the configured services", 0, 0, runServices},
             {"slots", "SERVICE", "lists a service's slots with owner and epoch", 1, 1, runSlots},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -24,7 +24,7 @@
 struct command_options {
     bool isJson = false;
     std::string author;
-    std::chrono::milliseconds wait {10000};
+    std::chrono::milliseconds wait{10000};
 };
 
 /// Everything that a command works with.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -44,7 +44,7 @@
     const auto port = std::strtoul(text.c_str() + colon + 1, nullptr, 10);
     if (port == 0 || port > UINT16_MAX)
         return std::nullopt;
-    return network_address {text.substr(0, colon), static_cast<std::uint16_t>(port)};
+    return network_address{text.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
 std::string token()
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds ANSWER_TIMEOUT {15};
+constexpr std::chrono::seconds ANSWER_TIMEOUT{15};
 constexpr std::size_t WORST_EXPANSION = 3;
 
 } // namespace
--- a/src/configuration/internal/configurationreplay.cpp
+++ b/src/configuration/internal/configurationreplay.cpp
@@ -63,7 +63,7 @@
 applyPatch(const configuration_snapshot &base, const nlohmann::json &patch)
 {
     if (!patch.is_object())
-        return settings_problems {{"(patch)", "an object", describe(patch)}};
+        return settings_problems{{"(patch)", "an object", describe(patch)}};
     configuration_snapshot next;
     next.version = base.version + 1;
     next.document = base.document;
@@ -112,8 +112,8 @@
     auto parsed = parseRoutingConfiguration(document);
     if (!std::holds_alternative<routing_configuration>(parsed))
         return;
-    configuration_snapshot snapshot {checkpoint.version, document,
-                                     std::get<routing_configuration>(std::move(parsed))};
+    configuration_snapshot snapshot{checkpoint.version, document,
+                                    std::get<routing_configuration>(std::move(parsed))};
     m_current = std::make_shared<configuration_snapshot>(std::move(snapshot));
     m_known = true;
     for (const auto &[offset, patch] : std::exchange(m_deferred, {})) {
--- a/src/configuration/internal/daemonsettings.cpp
+++ b/src/configuration/internal/daemonsettings.cpp
@@ -13,16 +13,16 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t MIN_KEY_BYTES = 16;
-constexpr value_range<std::int64_t> PORT_RANGE {1, 65535};
-constexpr value_range<std::int64_t> THREAD_RANGE {1, 4096};
-constexpr value_range<milliseconds> POLL_RANGE {milliseconds(10), milliseconds(10000)};
-constexpr value_range<milliseconds> DEADLINE_RANGE {milliseconds(1), milliseconds(600000)};
-constexpr value_range<milliseconds> LONG_RANGE {milliseconds(1), milliseconds(86400000)};
+constexpr value_range<std::int64_t> PORT_RANGE{1, 65535};
+constexpr value_range<std::int64_t> THREAD_RANGE{1, 4096};
+constexpr value_range<milliseconds> POLL_RANGE{milliseconds(10), milliseconds(10000)};
+constexpr value_range<milliseconds> DEADLINE_RANGE{milliseconds(1), milliseconds(600000)};
+constexpr value_range<milliseconds> LONG_RANGE{milliseconds(1), milliseconds(86400000)};
 
 bool isAddress(const std::string &text)
 {
-    in_addr v4 {};
-    in6_addr v6 {};
+    in_addr v4{};
+    in6_addr v6{};
     return inet_pton(AF_INET, text.c_str(), &v4) == 1
             || inet_pton(AF_INET6, text.c_str(), &v6) == 1;
 }
@@ -93,7 +93,7 @@
 void readCoordination(settings_reader &parent, coordination_settings &settings,
                       settings_problems &problems)
 {
-    constexpr value_range<milliseconds> SHORT {milliseconds(10), milliseconds(60000)};
+    constexpr value_range<milliseconds> SHORT{milliseconds(10), milliseconds(60000)};
     settings_reader reader(parent.object("coordination", false), parent.pathOf("coordination"),
                            problems);
     reader.readTime("heartbeat_interval_ms", settings.heartbeatInterval, SHORT);
@@ -113,7 +113,7 @@
 void checkListeners(const daemon_settings &settings, settings_problems &problems)
 {
     std::set<network_address> used;
-    const std::vector<std::pair<std::string, network_address>> listeners {
+    const std::vector<std::pair<std::string, network_address>> listeners{
             {"caller_listener", settings.callerListener},
             {"operator_listener", settings.operatorListener},
             {"peer_listener", settings.peerListener},
@@ -138,7 +138,7 @@
     settings_problems problems;
     const auto document = nlohmann::json::parse(text, nullptr, false, true);
     if (document.is_discarded())
-        return settings_problems {{"(document)", "JSON with comments", "a syntax error"}};
+        return settings_problems{{"(document)", "JSON with comments", "a syntax error"}};
     daemon_settings settings;
     settings_reader reader(document, "", problems);
     reader.readText("instance", settings.instance, true);
--- a/src/controlplane/internal/actionrunner.cpp
+++ b/src/controlplane/internal/actionrunner.cpp
@@ -84,7 +84,7 @@
         auto &controller = entry->controller;
         if (controller.role() != shard_role::Leader || controller.term() != action.request.term)
             return controller.onTargetFailure(action.to, action.request.sequence);
-        auto reply = health ? health.value() : control_reply {};
+        auto reply = health ? health.value() : control_reply{};
         reply.isUnreachable = !health;
         auto &proxy = proxyFor(*entry, action.to, m_permitLife, now);
         const auto isRunning = [entry](slot_index slot) {
--- a/src/controlplane/internal/admissionservice.cpp
+++ b/src/controlplane/internal/admissionservice.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds COPY_TIMEOUT {300};
+constexpr std::chrono::milliseconds COPY_TIMEOUT{300};
 constexpr std::size_t SYNC_CHUNK_ENTRIES = 500;
 
 admit_reply refusal(error_kind reason)
@@ -143,14 +143,14 @@
         const ordered_lock lock(m_shards.mutex());
         auto *entry = m_shards.find(report.shard);
         if (!entry || !entry->controller.leads(m_clock->now()))
-            return respond(outcome_reply {false});
+            return respond(outcome_reply{false});
         auto changed = entry->keeper.ledger().complete(report);
         if (!changed)
-            return respond(outcome_reply {true});
+            return respond(outcome_reply{true});
         copy = {report.shard, entry->controller.term(), {std::move(*changed)}, 0, false};
         standby = entry->controller.state().standby.instance;
     }
-    sendCopy(standby, copy, [respond](bool copied) { respond(outcome_reply {copied}); });
+    sendCopy(standby, copy, [respond](bool copied) { respond(outcome_reply{copied}); });
 }
 
 void admission_service::store(const incarnation_id &from, const ledger_copy &copy,
@@ -179,7 +179,7 @@
             continue;
         entry->keeper.setSynced(true);
         auto chunks = std::make_shared<std::vector<ledger_copy>>();
-        ledger_copy chunk {shard, state.term, {}, 0, false};
+        ledger_copy chunk{shard, state.term, {}, 0, false};
         for (auto &item : entry->keeper.ledger().entries(now)) {
             chunk.entries.push_back(std::move(item));
             if (chunk.entries.size() == SYNC_CHUNK_ENTRIES) {
--- a/src/controlplane/internal/admissionservice.h
+++ b/src/controlplane/internal/admissionservice.h
@@ -8,7 +8,7 @@
 namespace clementinebeam {
 
 /// Longest deadline of an idempotent request to a target that does not check grants.
-inline constexpr std::chrono::milliseconds PERMIT_LIFE {1000};
+inline constexpr std::chrono::milliseconds PERMIT_LIFE{1000};
 
 /// @return the grant proxy of a target for the present term. The shard table's mutex is held.
 grant_proxy &proxyFor(shard_entry &entry, const target_id &target,
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TICK_INTERVAL {20};
-constexpr std::chrono::milliseconds LIST_TIMEOUT {500};
-constexpr std::chrono::milliseconds STATE_TIMEOUT {1000};
-constexpr std::chrono::milliseconds LOAD_INTERVAL {1000};
-constexpr std::chrono::milliseconds EXPIRY_INTERVAL {500};
-constexpr std::chrono::milliseconds PATCH_RETRY {700};
-constexpr std::chrono::milliseconds STOP_POLL {10};
-constexpr std::chrono::milliseconds HANDOVER_WAIT {1200};
+constexpr std::chrono::milliseconds TICK_INTERVAL{20};
+constexpr std::chrono::milliseconds LIST_TIMEOUT{500};
+constexpr std::chrono::milliseconds STATE_TIMEOUT{1000};
+constexpr std::chrono::milliseconds LOAD_INTERVAL{1000};
+constexpr std::chrono::milliseconds EXPIRY_INTERVAL{500};
+constexpr std::chrono::milliseconds PATCH_RETRY{700};
+constexpr std::chrono::milliseconds STOP_POLL{10};
+constexpr std::chrono::milliseconds HANDOVER_WAIT{1200};
 
 template <class... handler_types>
 struct overloaded : handler_types... {
@@ -78,7 +78,7 @@
     {
         const ordered_lock lock(m_shards.mutex());
         for (auto &[shard, entry] : m_shards.entries()) {
-            work.emplace_back(shard, action_list {});
+            work.emplace_back(shard, action_list{});
             entry->controller.beginStop(boot_clock::now(), work.back().second);
         }
     }
@@ -143,7 +143,7 @@
         const bool isPeer = entry.role == listed_role::Instance && entry.id != m_self.instance;
         if (!isPeer)
             continue;
-        auto reply = m_services.peers->call(entry.id, state_request {true}, STATE_TIMEOUT);
+        auto reply = m_services.peers->call(entry.id, state_request{true}, STATE_TIMEOUT);
         const auto *state = reply ? std::get_if<state_reply>(&reply.value()) : nullptr;
         if (!state || !state->isReady)
             continue;
@@ -281,7 +281,7 @@
         if (expires)
             m_nextExpiry = now + EXPIRY_INTERVAL;
         for (auto &[shard, entry] : m_shards.entries()) {
-            work.emplace_back(shard, action_list {});
+            work.emplace_back(shard, action_list{});
             entry->controller.tick(now, work.back().second);
             entry->keeper.update(entry->controller, wallNow());
             if (expires)
@@ -346,7 +346,7 @@
             if (leader == m_self)
                 entry->load.addReport(loads);
             else if (!leader.empty() && !loads.empty())
-                reports.emplace_back(leader.instance, load_report {shard, std::move(loads)});
+                reports.emplace_back(leader.instance, load_report{shard, std::move(loads)});
         }
     }
     for (const auto &[leader, report] : reports)
@@ -371,10 +371,11 @@
 
 void control_plane::handleMessage(const incarnation_id &from, const peer_message &message)
 {
-    std::visit(overloaded {
+    std::visit(overloaded{
                        [&](const coordination_message &body) { handleCoordination(from, body); },
                        [&](const crash_report &body) {
-                           m_services.quarantine->noteCrash(body.service, body.fingerprint);
+                           m_services.quarantine->noteCrash(body.service, body.fingerprint,
+                                                            body.target);
                        },
                        [&](const load_report &body) {
                            const ordered_lock lock(m_shards.mutex());
@@ -409,7 +410,7 @@
 void control_plane::handleRequest(const incarnation_id &from, const peer_message &message,
                                   const peer_responder &respond)
 {
-    std::visit(overloaded {
+    std::visit(overloaded{
                        [&](const admit_request &body) { m_admissions->admit(from, body, respond); },
                        [&](const outcome_report &body) { m_admissions->complete(body, respond); },
                        [&](const ledger_copy &body) { m_admissions->store(from, body, respond); },
--- a/src/controlplane/internal/controlplane.h
+++ b/src/controlplane/internal/controlplane.h
@@ -82,7 +82,7 @@
     std::unique_ptr<stream_reader> m_reader;
     std::unique_ptr<admission_service> m_admissions;
 
-    mutable ordered_mutex m_listingMutex {lock_rank::PeerTable};
+    mutable ordered_mutex m_listingMutex{lock_rank::PeerTable};
     std::vector<listing> m_listings;
 
     std::atomic<std::shared_ptr<const routing_view>> m_view;
@@ -93,14 +93,14 @@
     std::condition_variable m_wake;
     bool m_wakeRequested = false;
 
-    std::atomic<bool> m_ready {false};
-    std::atomic<bool> m_stopping {false};
+    std::atomic<bool> m_ready{false};
+    std::atomic<bool> m_stopping{false};
     std::thread m_readThread;
     std::thread m_listThread;
     std::thread m_tickThread;
-    instant m_nextLoadReport {};
-    instant m_nextExpiry {};
-    instant m_nextConfigurationCheckpoint {};
+    instant m_nextLoadReport{};
+    instant m_nextExpiry{};
+    instant m_nextConfigurationCheckpoint{};
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/ledgerkeeper.cpp
+++ b/src/controlplane/internal/ledgerkeeper.cpp
@@ -39,7 +39,7 @@
     if (isLeader && !continues) {
         // In a shard's first term no request can have been admitted before.
         const bool isFirst = controller.state().previousTerm == 0;
-        m_ledger.reset(isFirst ? wall_time {} : wall + m_clockSkewLimit);
+        m_ledger.reset(isFirst ? wall_time{} : wall + m_clockSkewLimit);
     }
     if (role == shard_role::Standby)
         m_ledger.setHorizon(wall + m_clockSkewLimit);
--- a/src/controlplane/internal/loadcollector.h
+++ b/src/controlplane/internal/loadcollector.h
@@ -31,7 +31,7 @@
     std::map<slot_index, double> m_local;
     std::map<slot_index, double> m_reported;
     std::map<slot_index, double> m_rates;
-    instant m_periodStart {};
+    instant m_periodStart{};
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/shardtable.cpp
+++ b/src/controlplane/internal/shardtable.cpp
@@ -48,7 +48,7 @@
                                 const std::vector<instance_view> &instances, instant now)
 {
     for (std::uint32_t index = 0; index < service.shards; ++index) {
-        const shard_id shard {name, index};
+        const shard_id shard{name, index};
         auto &entry = m_entries[shard];
         if (!entry)
             entry = std::make_unique<shard_entry>(shard, m_self, m_settings, service, m_random());
--- a/src/controlplane/internal/shardtable.h
+++ b/src/controlplane/internal/shardtable.h
@@ -61,7 +61,7 @@
     incarnation_id m_self;
     daemon_settings m_settings;
     random_source m_random;
-    mutable ordered_mutex m_mutex {lock_rank::ShardTable};
+    mutable ordered_mutex m_mutex{lock_rank::ShardTable};
     std::map<shard_id, std::unique_ptr<shard_entry>> m_entries;
 };
 
--- a/src/controlplane/internal/streamreader.cpp
+++ b/src/controlplane/internal/streamreader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds READ_TIMEOUT {500};
+constexpr std::chrono::milliseconds READ_TIMEOUT{500};
 
 std::string_view verdictName(patch_verdict verdict)
 {
--- a/src/coordination/internal/leaderengine.cpp
+++ b/src/coordination/internal/leaderengine.cpp
@@ -9,7 +9,7 @@
 
 /// Shortest time between two control messages to a target, so that waiting for a release does not
 /// become a busy loop.
-constexpr std::chrono::milliseconds CONTROL_PACE {10};
+constexpr std::chrono::milliseconds CONTROL_PACE{10};
 
 } // namespace
 
@@ -217,7 +217,7 @@
         const auto *session = findSession(target);
         return session && session->isPrepared(slot);
     };
-    move_record body {m_shard, state.term, {}};
+    move_record body{m_shard, state.term, {}};
     for (const auto &move : m_planner.takeReady(isPrepared, now)) {
         const auto &owned = slotIn(state, move.slot);
         if (owned.owner == move.owner || !isSettled(owned, move.slot, now))
@@ -235,7 +235,7 @@
         return;
     if (now >= m_fence.until())
         records.add(
-                {newRecordId(random), m_self.instance, settled_record {m_shard, state.term, false}},
+                {newRecordId(random), m_self.instance, settled_record{m_shard, state.term, false}},
                 now, actions);
 }
 
--- a/src/coordination/internal/leaderengine.h
+++ b/src/coordination/internal/leaderengine.h
@@ -103,7 +103,7 @@
     std::map<target_id, listed_target> m_targets;
     std::vector<slot_index> m_slots;
     std::map<slot_index, double> m_load;
-    instant m_nextPlan {};
+    instant m_nextPlan{};
 };
 
 /// @param state a shard's state.
--- a/src/coordination/internal/leadershipright.h
+++ b/src/coordination/internal/leadershipright.h
@@ -43,7 +43,7 @@
 
     coordination_settings m_settings;
     term_number m_term = 0;
-    instant m_until {};
+    instant m_until{};
     std::map<std::uint64_t, instant> m_sent;
 };
 
--- a/src/coordination/internal/predecessorfence.h
+++ b/src/coordination/internal/predecessorfence.h
@@ -62,11 +62,11 @@
 
     coordination_settings m_settings;
     std::vector<entry> m_entries;
-    instant m_begin {};
+    instant m_begin{};
     /// A process is not active any more in the terms below this one.
     struct inactivity {
         term_number term = 0;
-        instant since {};
+        instant since{};
     };
 
     using inactivity_table = std::map<incarnation_id, inactivity>;
--- a/src/coordination/internal/proposals.cpp
+++ b/src/coordination/internal/proposals.cpp
@@ -6,7 +6,7 @@
 {
     actions.appends.push_back({record});
     auto &place = m_pending[record.body.index()];
-    place = pending_record {std::move(record), now};
+    place = pending_record{std::move(record), now};
 }
 
 void proposals::resolve(const record_id &id)
--- a/src/coordination/internal/proposals.h
+++ b/src/coordination/internal/proposals.h
@@ -35,13 +35,13 @@
     template <class body_type>
     bool has() const
     {
-        return m_pending[ownership_body(body_type {}).index()].has_value();
+        return m_pending[ownership_body(body_type{}).index()].has_value();
     }
 
     template <class body_type>
     void drop()
     {
-        m_pending[ownership_body(body_type {}).index()].reset();
+        m_pending[ownership_body(body_type{}).index()].reset();
     }
 
 private:
--- a/src/coordination/internal/shardcontroller.cpp
+++ b/src/coordination/internal/shardcontroller.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t MAX_WATCHERS = 15;
 
 /// How long a stopping leader repeats its handover without an answer.
-constexpr std::chrono::milliseconds HANDOVER_LIMIT {1000};
+constexpr std::chrono::milliseconds HANDOVER_LIMIT{1000};
 
 } // namespace
 
@@ -113,7 +113,7 @@
     {
         const bool handsOver = isLeader() && !m_state.standby.empty() && !m_acting;
         if (handsOver)
-            m_handover = handover {m_shard, m_state.term, m_engine.highestSequence(), m_nextOffset};
+            m_handover = handover{m_shard, m_state.term, m_engine.highestSequence(), m_nextOffset};
         m_stopping = true;
         m_stopAt = now;
         m_termFloor = m_state.term + 1;
@@ -163,7 +163,7 @@
     {
         if (!isLeader() || m_state.earlier.empty())
             return;
-        settled_record body {m_shard, m_state.term, true};
+        settled_record body{m_shard, m_state.term, true};
         m_records.add({newRecordId(m_random), m_self.instance, body}, now, actions);
     }
 
@@ -190,7 +190,7 @@
         }
         const bool confirmed = isCurrent && isStandby();
         if (body.term == m_state.term || confirmed)
-            send(from.instance, heartbeat_reply {m_shard, body.term, body.sequence, confirmed},
+            send(from.instance, heartbeat_reply{m_shard, body.term, body.sequence, confirmed},
                  actions);
         return body.term > m_state.term || body.nextOffset > m_nextOffset;
     }
@@ -208,7 +208,7 @@
     {
         const bool alive = isLeader() || m_monitor.hears(now);
         if (body.term == m_state.term)
-            send(from.instance, probe_reply {m_shard, body.term, alive}, actions);
+            send(from.instance, probe_reply{m_shard, body.term, alive}, actions);
         return body.term > m_state.term;
     }
 
@@ -230,7 +230,7 @@
             m_acting = false;
             m_engine.end();
         }
-        send(from.instance, predecessor_statement {m_shard, body.term}, actions);
+        send(from.instance, predecessor_statement{m_shard, body.term}, actions);
         return body.term > m_state.term;
     }
 
@@ -251,7 +251,7 @@
         // With an older view of the stream this instance could grant slots that have moved on.
         if (body.nextOffset > m_nextOffset)
             return true;
-        send(from.instance, handover_reply {m_shard, body.term}, actions);
+        send(from.instance, handover_reply{m_shard, body.term}, actions);
         if (m_acting)
             return false;
         m_acting = true;
@@ -281,7 +281,7 @@
             m_nextHeartbeat = now + m_settings.heartbeatInterval;
             sendHeartbeats(now, actions);
             for (const auto &instance : m_engine.fence().pending())
-                send(instance, predecessor_query {m_shard, m_state.term}, actions);
+                send(instance, predecessor_query{m_shard, m_state.term}, actions);
         }
         replaceStandby(now, actions);
         requestCheckpoint(now, actions);
@@ -290,7 +290,7 @@
 
     void sendHeartbeats(instant now, action_list &actions)
     {
-        const heartbeat message {m_shard, m_state.term, ++m_heartbeatSequence, m_nextOffset};
+        const heartbeat message{m_shard, m_state.term, ++m_heartbeatSequence, m_nextOffset};
         m_engine.right().noteHeartbeat(message.sequence, now);
         if (!m_state.standby.empty())
             send(m_state.standby.instance, message, actions);
@@ -329,7 +329,7 @@
         const bool isReplacement = isLeader() && !m_acting;
         if (isReplacement && !standby)
             return;
-        claim_record body {m_shard, m_state.term, m_self, {}};
+        claim_record body{m_shard, m_state.term, m_self, {}};
         if (standby)
             body.standby = incarnationOf(standby->id);
         if (isReplacement && body.standby == m_state.standby)
@@ -340,8 +340,7 @@
     incarnation_id incarnationOf(const instance_id &id) const
     {
         const auto found = m_incarnations.find(id);
-        return found == m_incarnations.end() ? incarnation_id {}
-                                             : incarnation_id {id, found->second};
+        return found == m_incarnations.end() ? incarnation_id{} : incarnation_id{id, found->second};
     }
 
     void requestCheckpoint(instant now, action_list &actions)
@@ -382,7 +381,7 @@
     {
         for (const auto &view : m_ranking.all()) {
             if (view.id != m_self.instance)
-                send(view.id, probe_request {m_shard, m_state.term}, actions);
+                send(view.id, probe_request{m_shard, m_state.term}, actions);
         }
     }
 
@@ -398,10 +397,10 @@
     bool m_acting = false;
     bool m_stopping = false;
     std::optional<handover> m_handover;
-    instant m_stopAt {};
-    instant m_termStart {};
-    instant m_nextHeartbeat {};
-    instant m_nextCheckpoint {};
+    instant m_stopAt{};
+    instant m_termStart{};
+    instant m_nextHeartbeat{};
+    instant m_nextCheckpoint{};
     std::uint64_t m_heartbeatSequence = 0;
     log_offset m_nextOffset = 0;
     std::map<instance_id, instant> m_heardAt;
--- a/src/coordination/internal/standbymonitor.h
+++ b/src/coordination/internal/standbymonitor.h
@@ -42,9 +42,9 @@
 
 private:
     coordination_settings m_settings;
-    instant m_lastHeard {};
+    instant m_lastHeard{};
     bool m_heard = false;
-    instant m_probedAt {};
+    instant m_probedAt{};
     bool m_probing = false;
 };
 
--- a/src/coordination/internal/targetsession.h
+++ b/src/coordination/internal/targetsession.h
@@ -73,9 +73,9 @@
     std::uint64_t m_nonce = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_outstanding = 0;
-    instant m_lastSend {};
+    instant m_lastSend{};
     instant m_lastReply;
-    instant m_leaseBound {}; ///< The target's lease has surely lapsed after this time.
+    instant m_leaseBound{}; ///< The target's lease has surely lapsed after this time.
     std::map<slot_index, epoch_number> m_held;
     std::set<slot_index> m_unconfirmed; ///< Granted in messages that were not answered.
     std::set<slot_index> m_prepared;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -62,7 +62,7 @@
     const auto signals = blockStopSignals();
     startLogging(settings.instance, FLAGS_verbose ? log_level::Debug : log_level::Info);
     auto random = makeSystemSeededSource();
-    const incarnation_id self {settings.instance, random()};
+    const incarnation_id self{settings.instance, random()};
     kernel core;
     core.services().provide<const daemon_settings>(std::make_shared<daemon_settings>(settings));
     core.services().provide<const incarnation_id>(std::make_shared<incarnation_id>(self));
--- a/src/http/internal/httpchannel.cpp
+++ b/src/http/internal/httpchannel.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Time that an exchange's thread gets to report before the waiting caller gives up by itself.
-constexpr std::chrono::milliseconds REPORT_GRACE {5};
+constexpr std::chrono::milliseconds REPORT_GRACE{5};
 
 } // namespace
 
@@ -31,7 +31,7 @@
     bool cancel() { return !m_claimed.exchange(true); }
 
 private:
-    std::atomic<bool> m_claimed {false};
+    std::atomic<bool> m_claimed{false};
 };
 
 /// Shared with the channel's threads, so that a stuck thread can outlive the channel.
@@ -265,11 +265,11 @@
 
     const network_address m_address;
     const channel_settings m_settings;
-    mutable ordered_mutex m_mutex {lock_rank::ConnectionPool};
+    mutable ordered_mutex m_mutex{lock_rank::ConnectionPool};
     std::condition_variable_any m_wake;
     std::deque<job> m_jobs;
     std::list<std::shared_ptr<lane>> m_lanes;
-    std::atomic<std::uint64_t> m_generation {0};
+    std::atomic<std::uint64_t> m_generation{0};
     bool m_stopping = false;
 };
 
@@ -290,7 +290,7 @@
             {std::move(request), deadline, std::move(callback), std::make_shared<job_claim>()});
 }
 
-result<http_response> http_channel::exchange(http_request request, instant deadline)
+result<http_response> http_channel::exchange(http_request request, instant deadline, instant sendBy)
 {
     auto promise = std::make_shared<std::promise<result<http_response>>>();
     auto claim = std::make_shared<job_claim>();
@@ -299,6 +299,12 @@
         promise->set_value(std::move(response));
     };
     m_impl->submit({std::move(request), deadline, report, claim});
+    if (sendBy < deadline) {
+        if (future.wait_for(sendBy - boot_clock::now()) == std::future_status::ready)
+            return future.get();
+        if (claim->cancel())
+            return make_error_code(error_kind::TargetUnreachable);
+    }
     const auto wait = deadline + REPORT_GRACE - boot_clock::now();
     if (future.wait_for(wait) == std::future_status::ready)
         return future.get();
--- a/src/http/internal/httpconnection.cpp
+++ b/src/http/internal/httpconnection.cpp
@@ -55,7 +55,7 @@
 {
     close();
     m_address = address;
-    std::array<char, ERROR_BYTES> error {};
+    std::array<char, ERROR_BYTES> error{};
     m_connection =
             mg_connect_client(address.host.c_str(), address.port, 0, error.data(), error.size());
     if (!m_connection)
@@ -94,7 +94,7 @@
 {
     const auto remaining =
             std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_clock::now());
-    std::array<char, ERROR_BYTES> error {};
+    std::array<char, ERROR_BYTES> error{};
     const int timeout = static_cast<int>(std::max<std::int64_t>(1, remaining.count()));
     if (mg_get_response(m_connection, error.data(), error.size(), timeout) < 0) {
         const bool late = boot_clock::now() >= deadline;
@@ -108,7 +108,7 @@
     for (int index = 0; index < info->num_headers; ++index)
         response.headers.add(info->http_headers[index].name, info->http_headers[index].value);
     const auto length = static_cast<std::size_t>(info->content_length);
-    std::array<char, READ_BYTES> buffer {};
+    std::array<char, READ_BYTES> buffer{};
     while (response.body.size() < length) {
         const auto wanted = std::min(buffer.size(), length - response.body.size());
         const int got = mg_read(m_connection, buffer.data(), wanted);
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -47,7 +47,7 @@
     const auto requestTimeout = std::to_string(m_settings.requestTimeout.count());
     const auto keepAlive = std::to_string(m_settings.keepAliveTimeout.count());
     const auto headerBytes = std::to_string(m_settings.maxHeaderBytes);
-    std::vector<const char *> options {
+    std::vector<const char *> options{
             "listening_ports",
             port.c_str(),
             "num_threads",
@@ -74,7 +74,7 @@
         options.push_back(m_settings.certificateFile.c_str());
     }
     options.push_back(nullptr);
-    mg_callbacks callbacks {};
+    mg_callbacks callbacks{};
     m_context = mg_start(&callbacks, this, options.data());
     if (!m_context)
         return std::make_error_code(std::errc::address_in_use);
@@ -123,7 +123,7 @@
         response.headers.add("Connection", "close");
         return response;
     }
-    std::array<char, READ_BYTES> buffer {};
+    std::array<char, READ_BYTES> buffer{};
     for (;;) {
         const int got = mg_read(connection, buffer.data(), buffer.size());
         if (got <= 0)
--- a/src/http/internal/httptypes.cpp
+++ b/src/http/internal/httptypes.cpp
@@ -23,7 +23,7 @@
 
 std::string http_request::parameter(const std::string &name) const
 {
-    std::array<char, MAX_PARAMETER_BYTES> value {};
+    std::array<char, MAX_PARAMETER_BYTES> value{};
     const int length =
             mg_get_var(query.data(), query.size(), name.c_str(), value.data(), value.size());
     return length < 0 ? std::string() : std::string(value.data(), static_cast<std::size_t>(length));
--- a/src/kernel/internal/bootclock.cpp
+++ b/src/kernel/internal/bootclock.cpp
@@ -6,7 +6,7 @@
 
 boot_clock::time_point boot_clock::now() noexcept
 {
-    timespec time {};
+    timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     const auto sinceBoot =
             std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
--- a/src/ledger/internal/requestledger.cpp
+++ b/src/ledger/internal/requestledger.cpp
@@ -124,7 +124,7 @@
 void request_ledger::store(const ledger_entry &entry, instant now)
 {
     const auto overdueAt = now + std::chrono::milliseconds(entry.remainingMs);
-    const auto [known, isNew] = m_entries.try_emplace(entry.requestId, record {entry, overdueAt});
+    const auto [known, isNew] = m_entries.try_emplace(entry.requestId, record{entry, overdueAt});
     if (isNew) {
         if (entry.state == ledger_state::Running)
             ++m_running[entry.slot];
@@ -151,7 +151,7 @@
         auto &item = known->second;
         if (item.entry.state == ledger_state::Running && now >= item.overdueAt)
             setState(item, ledger_state::Unknown);
-        const wall_time created {std::chrono::milliseconds(item.entry.createdAt)};
+        const wall_time created{std::chrono::milliseconds(item.entry.createdAt)};
         const auto end = created + m_settings.requestIdLife + m_settings.clockSkewLimit;
         if (item.entry.state != ledger_state::Running && end <= wall)
             known = m_entries.erase(known);
--- a/src/observability/internal/audittrail.h
+++ b/src/observability/internal/audittrail.h
@@ -17,7 +17,7 @@
 private:
     static constexpr std::size_t MAX_ENTRIES = 2000;
 
-    mutable ordered_mutex m_mutex {lock_rank::AuditTable};
+    mutable ordered_mutex m_mutex{lock_rank::AuditTable};
     std::deque<audit_entry> m_entries;
 };
 
--- a/src/observability/internal/prometheusmetrics.cpp
+++ b/src/observability/internal/prometheusmetrics.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const prometheus::Histogram::BucketBoundaries DURATION_BUCKETS {
+const prometheus::Histogram::BucketBoundaries DURATION_BUCKETS{
         0.0005, 0.001, 0.002, 0.005, 0.01, 0.017, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0};
 
 double toSeconds(std::chrono::microseconds duration)
@@ -109,7 +109,7 @@
 
 void prometheus_metrics::setShard(const shard_id &shard, int role, std::size_t unservedSlots)
 {
-    const prometheus::Labels labels {{"shard", shard.text()}};
+    const prometheus::Labels labels{{"shard", shard.text()}};
     m_roles.Add(labels).Set(role);
     m_unserved.Add(labels).Set(static_cast<double>(unservedSlots));
 }
--- a/src/operators/internal/authenticator.cpp
+++ b/src/operators/internal/authenticator.cpp
@@ -15,7 +15,7 @@
 /// Digests have one length, so comparing them does not tell the length of a token.
 token_digest digestOf(std::string_view token)
 {
-    token_digest digest {};
+    token_digest digest{};
     SHA256(reinterpret_cast<const unsigned char *>(token.data()), token.size(), digest.data());
     return digest;
 }
--- a/src/operators/internal/operatorserver.cpp
+++ b/src/operators/internal/operatorserver.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t MAX_PATCH_BYTES = 256 << 10;
 constexpr std::size_t MAX_AUTHOR_BYTES = 64;
 constexpr std::size_t DEFAULT_AUDIT_ENTRIES = 50;
-constexpr std::chrono::milliseconds PATCH_TIMEOUT {8000};
-constexpr std::chrono::milliseconds VERSION_TIMEOUT {300};
+constexpr std::chrono::milliseconds PATCH_TIMEOUT{8000};
+constexpr std::chrono::milliseconds VERSION_TIMEOUT{300};
 
 server_settings operatorListener(const daemon_settings &settings)
 {
@@ -37,7 +37,7 @@
 http_response errorResponse(error_kind kind, const std::string &detail = {})
 {
     const auto &row = answerFor(kind);
-    nlohmann::json document {{"reason", row.reason}, {"text", row.text}};
+    nlohmann::json document{{"reason", row.reason}, {"text", row.text}};
     if (!detail.empty())
         document["detail"] = detail;
     return jsonResponse(row.httpStatus, document);
@@ -72,7 +72,7 @@
 
 const std::vector<operator_server::route> &operator_server::routes()
 {
-    static const std::vector<route> ROUTES {
+    static const std::vector<route> ROUTES{
             {"GET", "/v1/status", &operator_server::getStatus},
             {"GET", "/v1/services", &operator_server::getServices},
             {"GET", "/v1/slots", &operator_server::getSlots},
@@ -170,7 +170,7 @@
 {
     if (entry.id == m_self.instance)
         return m_services.plane->position().version;
-    const auto reply = m_services.peers->call(entry.id, state_request {false}, VERSION_TIMEOUT);
+    const auto reply = m_services.peers->call(entry.id, state_request{false}, VERSION_TIMEOUT);
     const auto *state = reply ? std::get_if<state_reply>(&reply.value()) : nullptr;
     return state ? nlohmann::json(state->version) : nlohmann::json();
 }
@@ -265,7 +265,7 @@
 http_response operator_server::postConfirmLost(const http_request &request,
                                                const department_settings &department)
 {
-    shard_id shard {request.parameter("service"), 0};
+    shard_id shard{request.parameter("service"), 0};
     std::uint64_t index = 0;
     if (!parseNumber(request.parameter("shard"), index))
         return errorResponse(error_kind::BadRequest, "shard");
--- a/src/operators/internal/operatorserver.h
+++ b/src/operators/internal/operatorserver.h
@@ -64,7 +64,7 @@
     authenticator m_authenticator;
     std::mutex m_randomMutex;
     random_source m_random;
-    std::atomic<bool> m_draining {false};
+    std::atomic<bool> m_draining{false};
     http_server m_server;
 };
 
--- a/src/operators/operatorsmodule.cpp
+++ b/src/operators/operatorsmodule.cpp
@@ -18,10 +18,10 @@
     {
         m_server = std::make_unique<operator_server>(
                 *services.find<const incarnation_id>(), *services.find<const daemon_settings>(),
-                operator_services {services.find<i_control_plane>(),
-                                   services.find<i_routing_table>(),
-                                   services.find<i_peer_transport>(),
-                                   services.find<i_audit_trail>(), services.find<i_metrics>()});
+                operator_services{services.find<i_control_plane>(),
+                                  services.find<i_routing_table>(),
+                                  services.find<i_peer_transport>(), services.find<i_audit_trail>(),
+                                  services.find<i_metrics>()});
         return m_server->start();
     }
 
--- a/src/ownership/internal/ownershipreplay.cpp
+++ b/src/ownership/internal/ownershipreplay.cpp
@@ -164,7 +164,7 @@
     m_shards[record.state.shard] = record.state;
     m_knownFrom[record.state.shard] = record.asOf;
     if (!m_index)
-        m_index = shard_index {record.asOf, {record.shards.begin(), record.shards.end()}};
+        m_index = shard_index{record.asOf, {record.shards.begin(), record.shards.end()}};
     applyDeferred();
 }
 
--- a/src/peering/internal/asiopeertransport.cpp
+++ b/src/peering/internal/asiopeertransport.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds SWEEP_INTERVAL {5};
+constexpr std::chrono::milliseconds SWEEP_INTERVAL{5};
 
 } // namespace
 
--- a/src/peering/internal/asiopeertransport.h
+++ b/src/peering/internal/asiopeertransport.h
@@ -65,10 +65,10 @@
     std::string m_key;
     std::shared_ptr<i_metrics> m_metrics;
     boost::asio::io_context m_context;
-    boost::asio::ip::udp::socket m_datagrams {m_context};
-    boost::asio::ip::tcp::acceptor m_acceptor {m_context};
-    boost::asio::steady_timer m_timer {m_context};
-    std::array<char, DATAGRAM_BUFFER_BYTES> m_buffer {};
+    boost::asio::ip::udp::socket m_datagrams{m_context};
+    boost::asio::ip::tcp::acceptor m_acceptor{m_context};
+    boost::asio::steady_timer m_timer{m_context};
+    std::array<char, DATAGRAM_BUFFER_BYTES> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
     std::map<instance_id, peer> m_peers;
     std::unordered_map<std::uint64_t, pending_request> m_pending;
--- a/src/peering/internal/peercodec.cpp
+++ b/src/peering/internal/peercodec.cpp
@@ -20,7 +20,7 @@
 
 authentication_code authenticate(std::string_view bytes, std::string_view key)
 {
-    authentication_code code {};
+    authentication_code code{};
     unsigned length = CODE_BYTES;
     HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
          reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), code.data(), &length);
--- a/src/peering/internal/peerlink.h
+++ b/src/peering/internal/peerlink.h
@@ -44,7 +44,7 @@
     bool m_connected = false;
     bool m_closed = false;
     bool m_writing = false;
-    std::array<unsigned char, 4> m_length {};
+    std::array<unsigned char, 4> m_length{};
     std::string m_body;
     std::deque<std::string> m_outgoing;
     frame_handler m_onFrame;
--- a/src/platform/internal/httpinstancelist.cpp
+++ b/src/platform/internal/httpinstancelist.cpp
@@ -23,7 +23,7 @@
     entry.dataCentre = item.at("data_centre").get<std::string>();
     entry.address.host = item.at("address").get<std::string>();
     entry.address.port = item.at("port").get<std::uint16_t>();
-    entry.peerPort = item.value("peer_port", std::uint16_t {0});
+    entry.peerPort = item.value("peer_port", std::uint16_t{0});
     entry.service = item.value("service", std::string());
     return entry;
 }
--- a/src/platform/internal/httplogclient.cpp
+++ b/src/platform/internal/httplogclient.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t READ_CONNECTIONS = 2;
 constexpr std::size_t APPEND_CONNECTIONS = 4;
 constexpr std::size_t MAX_RECORDS_PER_READ = 500;
-constexpr std::chrono::milliseconds APPEND_TIMEOUT {1000};
+constexpr std::chrono::milliseconds APPEND_TIMEOUT{1000};
 
 channel_settings channelSettings(std::size_t connections)
 {
--- a/src/routing/internal/callerrequest.h
+++ b/src/routing/internal/callerrequest.h
@@ -19,8 +19,8 @@
     std::string contentType;
     std::string body;
     bool isFirstAttempt = false; ///< The caller states that the id was never sent before.
-    instant arrivedAt {};
-    instant deadline {};
+    instant arrivedAt{};
+    instant deadline{};
 
     /// @return hash of kind, key and body.
     std::uint64_t fingerprint() const;
--- a/src/routing/internal/gateway.cpp
+++ b/src/routing/internal/gateway.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds DRAIN_POLL {5};
+constexpr std::chrono::milliseconds DRAIN_POLL{5};
 
 server_settings callerServer(const daemon_settings &settings)
 {
--- a/src/routing/internal/gateway.h
+++ b/src/routing/internal/gateway.h
@@ -30,8 +30,8 @@
     request_router &m_router;
     std::shared_ptr<i_control_plane> m_plane;
     std::shared_ptr<i_metrics> m_metrics;
-    std::atomic<bool> m_draining {false};
-    std::atomic<int> m_inFlight {0};
+    std::atomic<bool> m_draining{false};
+    std::atomic<int> m_inFlight{0};
     http_server m_server;
 };
 
--- a/src/routing/internal/ledgerclient.cpp
+++ b/src/routing/internal/ledgerclient.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ADMIT_TIMEOUT {250};
-constexpr std::chrono::milliseconds REPORT_TIMEOUT {500};
-constexpr std::chrono::milliseconds REPORT_RETRY {100};
-constexpr std::chrono::seconds REPORT_LIMIT {30};
-constexpr std::chrono::milliseconds STOP_WAIT {1000};
+constexpr std::chrono::milliseconds ADMIT_TIMEOUT{250};
+constexpr std::chrono::milliseconds REPORT_TIMEOUT{500};
+constexpr std::chrono::milliseconds REPORT_RETRY{100};
+constexpr std::chrono::seconds REPORT_LIMIT{30};
+constexpr std::chrono::milliseconds STOP_WAIT{1000};
 constexpr std::size_t MAX_OPEN_REPORTS = 100000;
 
 } // namespace
--- a/src/routing/internal/ledgerclient.h
+++ b/src/routing/internal/ledgerclient.h
@@ -34,7 +34,7 @@
 private:
     struct open_report {
         outcome_report report;
-        instant nextTry {};
+        instant nextTry{};
         instant giveUp;
     };
 
--- a/src/routing/internal/quarantine.cpp
+++ b/src/routing/internal/quarantine.cpp
@@ -15,22 +15,46 @@
     return found->second.crashes >= CRASH_LIMIT;
 }
 
-void quarantine::noteCrash(const service_name &service, std::uint64_t fingerprint)
+std::uint64_t quarantine::answeredKey(const service_name &service, std::uint64_t fingerprint)
 {
+    return hashOf(service, fingerprint) | 1; // 0 marks an empty place.
+}
+
+void quarantine::noteAnswer(const service_name &service, std::uint64_t fingerprint)
+{
+    const auto key = answeredKey(service, fingerprint);
+    const ordered_lock lock(m_mutex);
+    m_answered[key / 2 % ANSWERED_PLACES] = key;
+    m_records.erase({service, fingerprint});
+}
+
+bool quarantine::noteCrash(const service_name &service, std::uint64_t fingerprint,
+                           const target_id &target)
+{
+    const auto key = answeredKey(service, fingerprint);
     std::uint32_t crashes = 0;
     {
         const ordered_lock lock(m_mutex);
+        if (m_answered[key / 2 % ANSWERED_PLACES] == key)
+            return false;
         makeRoom();
+        const auto now = boot_clock::now();
         auto &item = m_records[{service, fingerprint}];
-        if (boot_clock::now() - item.lastCrash >= MEMORY)
+        if (now - item.lastCrash >= MEMORY)
             item.crashes = 0;
-        item.lastCrash = boot_clock::now();
+        const bool isSame =
+                item.crashes > 0 && item.lastTarget == target && now - item.lastCrash < SAME_CRASH;
+        if (isSame)
+            return true;
+        item.lastCrash = now;
+        item.lastTarget = target;
         crashes = ++item.crashes;
     }
     if (crashes == CRASH_LIMIT)
         log_line(log_level::Warning, "request_quarantined")
                 .add("service", service)
                 .add("fingerprint", fingerprint);
+    return true;
 }
 
 void quarantine::makeRoom()
--- a/src/routing/internal/requestrouter.cpp
+++ b/src/routing/internal/requestrouter.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 /// Delays between two tries to find the owner while a slot moves.
-constexpr std::chrono::milliseconds FIRST_DELAY {3};
-constexpr std::chrono::milliseconds MAX_DELAY {40};
+constexpr std::chrono::milliseconds FIRST_DELAY{3};
+constexpr std::chrono::milliseconds MAX_DELAY{40};
 
 /// Delay between two questions about a copy of the request that is still running.
-constexpr std::chrono::milliseconds RUNNING_DELAY {20};
+constexpr std::chrono::milliseconds RUNNING_DELAY{20};
 
 /// Longest deadline of an idempotent request that needs a permit; below the permits' life.
-constexpr std::chrono::milliseconds MAX_PERMIT_DEADLINE {900};
+constexpr std::chrono::milliseconds MAX_PERMIT_DEADLINE{900};
 
 routed_answer failure(error_kind reason)
 {
@@ -123,7 +123,7 @@
     const auto kind = service->second.kinds.find(request.kind);
     if (kind == service->second.kinds.end())
         return finish(request, failure(error_kind::UnknownKind));
-    routed_request routed {request, service->second, kind->second, {}};
+    routed_request routed{request, service->second, kind->second, {}};
     routed.slot = slotOf(request.key, service->second.slots);
     routed.shard = {request.service, service->second.shardOfSlot(routed.slot)};
     routed.fingerprint = request.fingerprint();
@@ -162,7 +162,7 @@
             reason = static_cast<error_kind>(reply.value().reason);
             return std::nullopt;
         }
-        return send_permit {reply.value().owner, reply.value().epoch, reply.value().term};
+        return send_permit{reply.value().owner, reply.value().epoch, reply.value().term};
     }
     const auto view = m_services.routes->view();
     const auto route = view->services.find(request.caller.service);
@@ -171,7 +171,7 @@
     const auto &slot = route->second.slots[request.slot];
     if (slot.owner.empty())
         return std::nullopt;
-    return send_permit {slot.owner, slot.epoch, 0};
+    return send_permit{slot.owner, slot.epoch, 0};
 }
 
 routed_answer request_router::routeIdempotent(const routed_request &request)
@@ -242,7 +242,7 @@
             return failure(reason);
         if (reply && reply.value().decision == admission::Run) {
             const auto &permitted = reply.value();
-            const send_permit permit {permitted.owner, permitted.epoch, permitted.term};
+            const send_permit permit{permitted.owner, permitted.epoch, permitted.term};
             const auto answer = sendOnce(request, permit);
             reportOutcome(request, token, answer);
             if (answer.reason == error_kind::None) {
@@ -316,24 +316,26 @@
     // The target had the request, so this deadline proves nothing.
     if (answer.reason == error_kind::DeadlineExceeded && !answer.isNotRun)
         answer.reason = error_kind::ConnectionLost;
-    noteAnswer(request, answer, duration);
+    noteAnswer(request, permit.owner, answer, duration);
     return answer;
 }
 
-void request_router::noteAnswer(const routed_request &request, const target_answer &answer,
-                                std::chrono::microseconds duration)
+void request_router::noteAnswer(const routed_request &request, const target_id &target,
+                                const target_answer &answer, std::chrono::microseconds duration)
 {
     if (answer.reason == error_kind::None) {
         const double seconds = std::chrono::duration<double>(duration).count();
         m_services.plane->addLoad(request.shard, request.slot, seconds * request.kind.weight);
+        m_services.quarantine->noteAnswer(request.caller.service, request.fingerprint);
     }
     if (!answer.didConnectionDie)
         return;
-    m_services.quarantine->noteCrash(request.caller.service, request.fingerprint);
+    if (!m_services.quarantine->noteCrash(request.caller.service, request.fingerprint, target))
+        return;
     for (const auto &entry : m_services.plane->listings()) {
         if (entry.role == listed_role::Instance && entry.id != m_self.instance)
-            m_services.peers->send(entry.id,
-                                   crash_report {request.caller.service, request.fingerprint});
+            m_services.peers->send(
+                    entry.id, crash_report{request.caller.service, request.fingerprint, target});
     }
 }
 
@@ -357,10 +359,14 @@
 std::shared_ptr<target_queue> request_router::queueOf(const target_id &target,
                                                       const service_settings &service)
 {
+    // A request that has a place must find a free connection.
+    const auto most = std::min(service.maxConcurrency,
+                               static_cast<std::uint32_t>(m_services.connectionsPerTarget));
     const ordered_lock lock(m_queueMutex);
     auto &queue = m_queues[target];
     if (!queue)
-        queue = std::make_shared<target_queue>(service.maxConcurrency, service.maxQueue);
+        queue = std::make_shared<target_queue>(most, service.maxQueue);
+    queue->setLimits(most, service.maxQueue);
     return queue;
 }
 
--- a/src/routing/internal/requestrouter.h
+++ b/src/routing/internal/requestrouter.h
@@ -23,6 +23,7 @@
     std::shared_ptr<i_peer_transport> peers;
     std::shared_ptr<i_quarantine> quarantine;
     std::shared_ptr<i_metrics> metrics;
+    std::size_t connectionsPerTarget = 1;
 };
 
 /// What a caller is told.
@@ -74,8 +75,8 @@
     std::optional<send_permit> findPermit(const routed_request &request, error_kind &reason);
     result<admit_reply> askLeader(const routed_request &request, std::uint64_t token);
     target_answer sendOnce(const routed_request &request, const send_permit &permit);
-    void noteAnswer(const routed_request &request, const target_answer &answer,
-                    std::chrono::microseconds duration);
+    void noteAnswer(const routed_request &request, const target_id &target,
+                    const target_answer &answer, std::chrono::microseconds duration);
     void reportOutcome(const routed_request &request, std::uint64_t token,
                        const target_answer &answer);
     std::shared_ptr<target_queue> queueOf(const target_id &target, const service_settings &service);
@@ -86,7 +87,7 @@
     router_services m_services;
     ledger_client m_ledger;
     retry_budget m_retries;
-    ordered_mutex m_queueMutex {lock_rank::RoutingTable};
+    ordered_mutex m_queueMutex{lock_rank::RoutingTable};
     std::map<target_id, std::shared_ptr<target_queue>> m_queues;
     std::mutex m_randomMutex;
     random_source m_random;
--- a/src/routing/internal/targetqueue.h
+++ b/src/routing/internal/targetqueue.h
@@ -70,7 +70,7 @@
     std::size_t waitingOf(const flow_id &flow) const;
     std::chrono::microseconds expectedWait() const;
 
-    ordered_mutex m_mutex {lock_rank::RoutingTable};
+    ordered_mutex m_mutex{lock_rank::TargetTable};
     concurrency_limit m_limit;
     std::uint32_t m_maxWaiting;
     std::uint32_t m_running = 0;
--- a/src/routing/routingmodule.cpp
+++ b/src/routing/routingmodule.cpp
@@ -25,10 +25,10 @@
         const auto plane = services.find<i_control_plane>();
         m_router = std::make_unique<request_router>(
                 *services.find<const incarnation_id>(),
-                router_services {services.find<i_routing_table>(), plane,
-                                 services.find<i_target_client>(),
-                                 services.find<i_peer_transport>(), services.find<i_quarantine>(),
-                                 services.find<i_metrics>()});
+                router_services{services.find<i_routing_table>(), plane,
+                                services.find<i_target_client>(), services.find<i_peer_transport>(),
+                                services.find<i_quarantine>(), services.find<i_metrics>(),
+                                settings->connectionsPerTarget});
         m_router->start();
         m_gateway =
                 std::make_unique<gateway>(*settings, *m_router, plane, services.find<i_metrics>());
--- a/src/standins/platform/platformserver.h
+++ b/src/standins/platform/platformserver.h
@@ -12,7 +12,7 @@
 struct platform_faults {
     bool isDown = false;       ///< Answers nothing useful; appends have no effect.
     bool losesAnswers = false; ///< Appends take effect but are answered with an error.
-    std::chrono::milliseconds delay {0};
+    std::chrono::milliseconds delay{0};
     bool isListFrozen = false; ///< The instance list shows no changes.
 };
 
--- a/src/standins/target/leaseholder.h
+++ b/src/standins/target/leaseholder.h
@@ -61,7 +61,7 @@
     std::uint64_t m_nextNonce;
     std::chrono::milliseconds m_warmUp;
     std::map<std::uint64_t, instant> m_nonces;
-    instant m_leaseUntil {};
+    instant m_leaseUntil{};
     term_number m_term = 0;
     std::uint64_t m_sequence = 0;
     std::map<slot_index, epoch_number> m_held;
--- a/src/standins/target/main.cpp
+++ b/src/standins/target/main.cpp
@@ -37,7 +37,7 @@
     behaviour.crashMarker = FLAGS_crash_marker;
     behaviour.historyFile = FLAGS_history;
     std::random_device device;
-    target_server server(behaviour, (std::uint64_t {device()} << 32) + device());
+    target_server server(behaviour, (std::uint64_t{device()} << 32) + device());
     if (const auto error = server.start()) {
         std::cerr << "event=start_failed error=\"" << error.message() << "\"\n";
         return 1;
--- a/src/standins/target/targetserver.cpp
+++ b/src/standins/target/targetserver.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds COLD_PERIOD {300};
-constexpr std::chrono::microseconds EXECUTION_STEP {1000};
+constexpr std::chrono::milliseconds COLD_PERIOD{300};
+constexpr std::chrono::microseconds EXECUTION_STEP{1000};
 
 server_settings serverSettings(const target_behaviour &behaviour)
 {
@@ -172,9 +172,9 @@
     }
     response.headers.add("X-Outcome", "answered");
     response.headers.add("Content-Type", "application/json");
-    response.body = nlohmann::json {{"target", m_behaviour.id}, {"key", head.key},
-                                    {"kind", head.kind},        {"request_id", head.requestId},
-                                    {"echo", request.body},     {"execution", ++m_executions}}
+    response.body = nlohmann::json{{"target", m_behaviour.id}, {"key", head.key},
+                                   {"kind", head.kind},        {"request_id", head.requestId},
+                                   {"echo", request.body},     {"execution", ++m_executions}}
                             .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
--- a/src/standins/target/targetserver.h
+++ b/src/standins/target/targetserver.h
@@ -19,8 +19,8 @@
     std::size_t slots = 2;
     std::size_t maxQueue = 32;
     std::size_t threads = 64;
-    std::chrono::microseconds serviceTime {2000};
-    std::chrono::milliseconds warmUp {100};
+    std::chrono::microseconds serviceTime{2000};
+    std::chrono::milliseconds warmUp{100};
     double coldFactor = 3.0; ///< Slows the first requests of a slot that was not announced.
     std::string crashMarker; ///< A request whose body contains it ends the process.
     std::string historyFile;
@@ -52,7 +52,7 @@
         slot_index slot = 0;
         epoch_number epoch = 0;
         term_number term = 0;
-        instant deadline {};
+        instant deadline{};
     };
 
     static request_head parseHead(const http_request &request);
@@ -80,8 +80,8 @@
     std::vector<running_request> m_running;
     std::map<slot_index, instant> m_grantedAt;
     std::mt19937_64 m_random;
-    std::atomic<bool> m_draining {false};
-    std::atomic<std::uint64_t> m_executions {0};
+    std::atomic<bool> m_draining{false};
+    std::atomic<std::uint64_t> m_executions{0};
     http_server m_server;
 };
 
--- a/src/targets/internal/controlcodec.cpp
+++ b/src/targets/internal/controlcodec.cpp
@@ -39,7 +39,7 @@
 
 std::string encodeControlRequest(const control_request &request)
 {
-    const nlohmann::json document {
+    const nlohmann::json document{
             {"service", request.shard.service},
             {"shard", request.shard.index},
             {"term", request.term},
@@ -74,7 +74,7 @@
 
 std::string encodeControlReply(const control_reply &reply)
 {
-    const nlohmann::json document {
+    const nlohmann::json document{
             {"accepted", reply.accepted}, {"incarnation", reply.incarnation},
             {"nonce", reply.nonce},       {"term", reply.term},
             {"sequence", reply.sequence}, {"held", grantsToJson(reply.held)},
@@ -89,10 +89,10 @@
     return parse<control_reply>(text, [](const nlohmann::json &document) {
         control_reply reply;
         reply.accepted = document.value("accepted", false);
-        reply.incarnation = document.value("incarnation", std::uint64_t {0});
-        reply.nonce = document.value("nonce", std::uint64_t {0});
-        reply.term = document.value("term", term_number {0});
-        reply.sequence = document.value("sequence", std::uint64_t {0});
+        reply.incarnation = document.value("incarnation", std::uint64_t{0});
+        reply.nonce = document.value("nonce", std::uint64_t{0});
+        reply.term = document.value("term", term_number{0});
+        reply.sequence = document.value("sequence", std::uint64_t{0});
         if (document.contains("held"))
             reply.held = grantsFromJson(document.at("held"));
         if (document.contains("prepared"))
--- a/src/targets/internal/httptargetclient.cpp
+++ b/src/targets/internal/httptargetclient.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::size_t STUCK_FACTOR = 4;
 
+/// Longest wait for a connection before the owner of the key is looked up again.
+constexpr std::chrono::milliseconds SEND_LIMIT{50};
+
 channel_settings channelSettings(std::size_t connections)
 {
     channel_settings settings;
@@ -124,7 +127,9 @@
     const auto channel = requestChannel(target);
     if (!channel)
         return failedAnswer(error_kind::TargetUnreachable);
-    auto response = channel->exchange(formatRequest(request), request.deadline);
+    // The owner may move while no connection to it can be opened.
+    const auto sendBy = boot_clock::now() + SEND_LIMIT;
+    auto response = channel->exchange(formatRequest(request), request.deadline, sendBy);
     if (!response)
         return failedAnswer(kindOf(response.error()));
     return interpret(request, std::move(response.value()));
@@ -135,7 +140,7 @@
     http_request message;
     message.method = "POST";
     message.path = "/cancel/" + exchangeId;
-    constexpr std::chrono::milliseconds CANCEL_TIMEOUT {500};
+    constexpr std::chrono::milliseconds CANCEL_TIMEOUT{500};
     postControl(target, std::move(message), CANCEL_TIMEOUT, [](const result<control_reply> &) {});
 }
 
--- a/src/targets/internal/httptargetclient.h
+++ b/src/targets/internal/httptargetclient.h
@@ -35,7 +35,7 @@
                      std::chrono::milliseconds timeout, control_callback callback);
 
     std::size_t m_connectionsPerTarget;
-    ordered_mutex m_mutex {lock_rank::TargetTable};
+    ordered_mutex m_mutex{lock_rank::TargetTable};
     std::map<target_id, connections> m_targets;
 };
 
--- a/tests/contract/channelcontract.cpp
+++ b/tests/contract/channelcontract.cpp
@@ -29,7 +29,7 @@
         m_socket = socket(AF_INET, SOCK_STREAM, 0);
         const int on = 1;
         setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        sockaddr_in address {};
+        sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -110,7 +110,7 @@
     BOOST_REQUIRE(!server.start());
     http_channel channel(testAddress(10), {});
     std::vector<std::thread> threads;
-    std::atomic<int> wrong {0};
+    std::atomic<int> wrong{0};
     for (int thread = 0; thread < 8; ++thread) {
         threads.emplace_back([&, thread] {
             for (int round = 0; round < 200; ++round) {
--- a/tests/contract/leasecontract.cpp
+++ b/tests/contract/leasecontract.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-const instant START {std::chrono::seconds(100)};
-constexpr milliseconds LEASE {1000};
+const instant START{std::chrono::seconds(100)};
+constexpr milliseconds LEASE{1000};
 
 /// Drives a checking target as a leader does.
 struct fixture {
-    lease_holder target {1, 100, milliseconds(50)};
+    lease_holder target{1, 100, milliseconds(50)};
     std::uint64_t sequence = 0;
     std::uint64_t nonce = 0;
     bool running = false;
--- a/tests/contract/peercontract.cpp
+++ b/tests/contract/peercontract.cpp
@@ -26,7 +26,7 @@
     void setShard(const shard_id &, int, std::size_t) override { }
     std::string render() const override { return {}; }
 
-    std::atomic<int> drops {0};
+    std::atomic<int> drops{0};
 };
 
 struct node {
@@ -54,7 +54,7 @@
     node a("a", 30);
     node b("b", 31);
     for (const auto *to : {"b", "a"}) {
-        const auto reply = a.transport.call(to, state_request {true}, milliseconds(2000));
+        const auto reply = a.transport.call(to, state_request{true}, milliseconds(2000));
         BOOST_REQUIRE(reply.has_value());
         BOOST_TEST(std::get<state_reply>(reply.value()).document == "for a");
     }
@@ -68,7 +68,7 @@
     b.transport.setMessageHandler([&received](const incarnation_id &from, const peer_message &) {
         received.set_value(from.instance);
     });
-    a.transport.send("b", stream_notice {1, 2});
+    a.transport.send("b", stream_notice{1, 2});
     auto future = received.get_future();
     BOOST_REQUIRE(future.wait_for(milliseconds(2000)) == std::future_status::ready);
     BOOST_TEST(future.get() == "a");
@@ -78,7 +78,7 @@
 {
     node a("a", 30);
     for (const auto *to : {"b", "nobody"}) {
-        const auto reply = a.transport.call(to, state_request {true}, milliseconds(100));
+        const auto reply = a.transport.call(to, state_request{true}, milliseconds(100));
         BOOST_TEST(reply.error() == make_error_code(error_kind::PeerUnreachable));
     }
 }
@@ -87,7 +87,7 @@
 {
     node a("a", 30, "another key 0123");
     node b("b", 31);
-    BOOST_TEST(!a.transport.call("b", state_request {true}, milliseconds(300)).has_value());
+    BOOST_TEST(!a.transport.call("b", state_request{true}, milliseconds(300)).has_value());
     BOOST_TEST(b.metrics->drops > 0);
 }
 
@@ -95,7 +95,7 @@
 {
     node stranger("stranger", 32);
     node b("b", 31);
-    BOOST_TEST(!stranger.transport.call("b", state_request {true}, milliseconds(300)).has_value());
+    BOOST_TEST(!stranger.transport.call("b", state_request{true}, milliseconds(300)).has_value());
     BOOST_TEST(b.metrics->drops > 0);
 }
 
@@ -104,11 +104,11 @@
     node a("a", 30);
     {
         node b("b", 31);
-        BOOST_TEST(a.transport.call("b", state_request {true}, milliseconds(2000)).has_value());
+        BOOST_TEST(a.transport.call("b", state_request{true}, milliseconds(2000)).has_value());
     }
     node b("b", 31);
     bool answered = false;
     for (int attempt = 0; attempt < 50 && !answered; ++attempt)
-        answered = a.transport.call("b", state_request {true}, milliseconds(200)).has_value();
+        answered = a.transport.call("b", state_request{true}, milliseconds(200)).has_value();
     BOOST_TEST(answered);
 }
--- a/tests/contract/platformcontract.cpp
+++ b/tests/contract/platformcontract.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr milliseconds TIMEOUT {2000};
-constexpr milliseconds NO_LAG {0};
+constexpr milliseconds TIMEOUT{2000};
+constexpr milliseconds NO_LAG{0};
 
 struct fixture {
-    platform_server server {testAddress(0), std::chrono::hours(1), NO_LAG};
+    platform_server server{testAddress(0), std::chrono::hours(1), NO_LAG};
     std::unique_ptr<http_log_client> log;
 
     fixture()
@@ -73,7 +73,7 @@
 BOOST_AUTO_TEST_CASE(append_takes_effect_although_its_answer_is_lost)
 {
     setFaults(R"({"loses_answers": true})");
-    std::atomic<bool> confirmed {false};
+    std::atomic<bool> confirmed{false};
     log->append("s", "kept", [&confirmed] { confirmed = true; });
     while (log->read("s", 0, TIMEOUT).value().entries.empty())
         std::this_thread::yield();
@@ -116,7 +116,7 @@
 BOOST_AUTO_TEST_CASE(log_forgets_records_after_its_retention)
 {
     platform_log log(milliseconds(100));
-    const instant start {std::chrono::seconds(10)};
+    const instant start{std::chrono::seconds(10)};
     log.append("s", "a", start);
     log.append("s", "b", start + milliseconds(60));
     const auto batch = log.read("s", 0, 10, start + milliseconds(100));
--- a/tests/contract/targetcontract.cpp
+++ b/tests/contract/targetcontract.cpp
@@ -22,8 +22,8 @@
 
 /// A target with slot 3 granted at epoch 5 in term 2, and a client.
 struct fixture {
-    target_server server {behaviourAt(20), 11};
-    http_target_client client {2};
+    target_server server{behaviourAt(20), 11};
+    http_target_client client{2};
     std::uint64_t sequence = 0;
     std::uint64_t nonce = 0;
 
--- a/tests/history/historytest.cpp
+++ b/tests/history/historytest.cpp
@@ -35,7 +35,7 @@
     return stream << row.name;
 }
 
-const std::vector<violation_row> VIOLATIONS {
+const std::vector<violation_row> VIOLATIONS{
         {"two owners", [](history &events) { events.ownerships[0].until = 201; }},
         {"long owner that overlaps a later one",
          [](history &events) {
--- a/tests/model/modelinstance.cpp
+++ b/tests/model/modelinstance.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TICK {50};
-constexpr std::chrono::milliseconds READ_INTERVAL {100};
-constexpr std::chrono::milliseconds READ_TIMEOUT {500};
-constexpr std::chrono::milliseconds CONTROL_TIMEOUT {200};
+constexpr std::chrono::milliseconds TICK{50};
+constexpr std::chrono::milliseconds READ_INTERVAL{100};
+constexpr std::chrono::milliseconds READ_TIMEOUT{500};
+constexpr std::chrono::milliseconds CONTROL_TIMEOUT{200};
 
 /// Wall clocks of all processes agree to within this skew.
-constexpr std::chrono::hours WALL_BASE {450000};
+constexpr std::chrono::hours WALL_BASE{450000};
 
 /// Carries the requests of one instance over the virtual network.
 class virtual_transport : public i_peer_transport
--- a/tests/model/modelsystem.cpp
+++ b/tests/model/modelsystem.cpp
@@ -12,11 +12,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds ISOLATION_LIMIT {3000};
-constexpr milliseconds REQUEST_LIFE {60000};
-constexpr milliseconds REQUEST_DEADLINE {1500};
-constexpr milliseconds ADMIT_TIMEOUT {250};
-constexpr milliseconds RETRY_DELAY {20};
+constexpr milliseconds ISOLATION_LIMIT{3000};
+constexpr milliseconds REQUEST_LIFE{60000};
+constexpr milliseconds REQUEST_DEADLINE{1500};
+constexpr milliseconds ADMIT_TIMEOUT{250};
+constexpr milliseconds RETRY_DELAY{20};
 constexpr int MAX_COPIES = 3;
 
 daemon_settings instanceSettings(const model_options &options, std::size_t index)
@@ -34,7 +34,7 @@
 
 } // namespace
 
-const shard_id model_system::SHARD {"orders", 0};
+const shard_id model_system::SHARD{"orders", 0};
 
 model_system::model_system(const model_options &given)
     : network(given.seed)
@@ -202,7 +202,7 @@
 
 void model_system::cutSome()
 {
-    std::vector<std::string> names {"log"};
+    std::vector<std::string> names{"log"};
     for (const auto &instance : instances)
         names.push_back(instance->process.name);
     for (const auto &target : targets)
@@ -364,7 +364,7 @@
     auto *leader = state ? findInstance(state->leader.instance) : nullptr;
     if (!leader)
         return retryOrEnd(copy);
-    admit_request message {
+    admit_request message{
             SHARD,
             request.id,
             hashOf(request.id),
@@ -502,7 +502,7 @@
     if (!leader)
         return;
     const auto &request = m_requests[copy->request];
-    outcome_report message {SHARD, request.id, request.slot, permit.token, state, {}};
+    outcome_report message{SHARD, request.id, request.slot, permit.token, state, {}};
     auto isAccepted = std::make_shared<bool>(false);
     network.send(instance.process, leader->process, [this, leader, &instance, message, isAccepted] {
         leader->handleRequest(instance.self(), message,
--- a/tests/model/modelsystem.h
+++ b/tests/model/modelsystem.h
@@ -18,11 +18,11 @@
     std::size_t instances = 4;
     std::size_t targets = 3;
     slot_index slots = 6;
-    std::chrono::milliseconds faultTime {20000};
-    std::chrono::milliseconds healTime {14000};
+    std::chrono::milliseconds faultTime{20000};
+    std::chrono::milliseconds healTime{14000};
     double lossRate = 0.02;
     double clockDrift = 0.0005; ///< Each clock's rate differs from 1 by up to this.
-    std::chrono::milliseconds targetLeaseError {0}; ///< Targets keep leases longer than told.
+    std::chrono::milliseconds targetLeaseError{0}; ///< Targets keep leases longer than told.
     bool breaksIsolationLimit =
             false; ///< Leaders keep their right for longer than the others think.
 };
@@ -66,7 +66,7 @@
     const model_options options;
     std::vector<std::unique_ptr<model_instance>> instances;
     std::vector<std::unique_ptr<model_target>> targets;
-    virtual_process log {"log"};
+    virtual_process log{"log"};
     bool isLogDown = false;
 
     void append(const ownership_record &record);
@@ -84,7 +84,7 @@
         std::size_t request = 0;
         std::size_t instance = 0;
         std::uint64_t token = 0;
-        instant deadline {}; ///< On the true clock.
+        instant deadline{}; ///< On the true clock.
         bool isDone = false;
     };
 
--- a/tests/model/modeltest.cpp
+++ b/tests/model/modeltest.cpp
@@ -20,7 +20,7 @@
 {
     const char *first = std::getenv("MODEL_FIRST_SEED");
     const char *last = std::getenv("MODEL_LAST_SEED");
-    constexpr seed_range DEFAULT {1, 100};
+    constexpr seed_range DEFAULT{1, 100};
     return {first ? std::stoull(first) : DEFAULT.first, last ? std::stoull(last) : DEFAULT.last};
 }
 
--- a/tests/model/virtualnetwork.h
+++ b/tests/model/virtualnetwork.h
@@ -22,7 +22,7 @@
     bool isUp = true;
     bool isPaused = false;
     std::uint64_t generation = 0; ///< Changes when the process restarts.
-    std::deque<std::pair<std::uint64_t, action>> waiting {};
+    std::deque<std::pair<std::uint64_t, action>> waiting{};
 };
 
 /// Events in virtual time, and messages that are lost, delayed, doubled and reordered.
@@ -88,7 +88,7 @@
     boot_clock::duration drawDelay();
 
     random_source m_random;
-    instant m_now {std::chrono::seconds(1000)};
+    instant m_now{std::chrono::seconds(1000)};
     std::uint64_t m_nextOrder = 0;
     double m_lossRate = 0.0;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
--- a/tests/process/callers.cpp
+++ b/tests/process/callers.cpp
@@ -9,11 +9,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds DEADLINE {1500};
-constexpr milliseconds PATIENCE {3000};
+constexpr milliseconds DEADLINE{1500};
+constexpr milliseconds PATIENCE{3000};
 constexpr std::size_t KEYS = 200;
 constexpr int MAX_COPIES = 3;
-constexpr milliseconds PAUSE {2};
+constexpr milliseconds PAUSE{2};
 
 std::int64_t nowUs()
 {
--- a/tests/process/callers.h
+++ b/tests/process/callers.h
@@ -36,8 +36,8 @@
 
     const cluster &m_system;
     std::vector<std::size_t> m_instances;
-    std::atomic<bool> m_stopping {false};
-    std::atomic<std::size_t> m_answered {0};
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::size_t> m_answered{0};
     std::mutex m_mutex;
     std::vector<history::call> m_calls;
     std::vector<std::thread> m_threads;
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -24,7 +24,7 @@
 constexpr std::uint16_t PEER_PORT = 23300;
 constexpr std::uint16_t TARGET_PORT = 23400;
 constexpr const char *TOKEN = "process-test-token";
-constexpr milliseconds POLL {20};
+constexpr milliseconds POLL{20};
 
 network_address addressOf(std::uint16_t base, std::size_t number)
 {
@@ -86,7 +86,7 @@
 void cluster::startInstance(std::size_t number)
 {
     const auto id = "i" + std::to_string(number);
-    const nlohmann::json settings {
+    const nlohmann::json settings{
             {"instance", id},
             {"data_centre", dataCentre(number)},
             {"data_centres", {"dc0", "dc1", "dc2"}},
@@ -113,9 +113,9 @@
 void cluster::startTarget(std::size_t number, const std::vector<std::string> &flags)
 {
     const auto id = "t" + std::to_string(number);
-    std::vector<std::string> arguments {TARGET_PROGRAM, "--id=" + id,
-                                        "--port=" + std::to_string(TARGET_PORT + number),
-                                        "--history=" + m_folder + '/' + id + ".jsonl"};
+    std::vector<std::string> arguments{TARGET_PROGRAM, "--id=" + id,
+                                       "--port=" + std::to_string(TARGET_PORT + number),
+                                       "--history=" + m_folder + '/' + id + ".jsonl"};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     start(id, arguments);
     put(id,
@@ -150,7 +150,7 @@
     if (connection.open(address))
         return {0, {}, {}};
     auto response = connection.exchange(request, boot_clock::now() + milliseconds(3000));
-    return response ? std::move(response.value()) : http_response {0, {}, {}};
+    return response ? std::move(response.value()) : http_response{0, {}, {}};
 }
 
 void cluster::put(const std::string &id, const nlohmann::json &listing)
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const std::vector<std::size_t> INSTANCES {1, 2, 3, 4};
+const std::vector<std::size_t> INSTANCES{1, 2, 3, 4};
 
 nlohmann::json serviceDocument()
 {
--- a/tests/unit/assignmenttest.cpp
+++ b/tests/unit/assignmenttest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::vector<std::string> POLICIES {"bounded_load", "minimum_churn", "rendezvous"};
+const std::vector<std::string> POLICIES{"bounded_load", "minimum_churn", "rendezvous"};
 
 assignment_input makeInput(std::size_t targets, slot_index slots)
 {
--- a/tests/unit/coordinationtest.cpp
+++ b/tests/unit/coordinationtest.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-const instant START {std::chrono::seconds(100)};
-const incarnation_id LEADER {"i1", 1};
-const incarnation_id STANDBY {"i2", 2};
-const incarnation_id THIRD {"i3", 3};
+const instant START{std::chrono::seconds(100)};
+const incarnation_id LEADER{"i1", 1};
+const incarnation_id STANDBY{"i2", 2};
+const incarnation_id THIRD{"i3", 3};
 const coordination_settings SETTINGS;
 
 control_reply replyWith(std::vector<slot_grant> held)
@@ -174,9 +174,9 @@
     standby.onState(state, START);
     standby.onLogRead(START, 5);
     action_list actions;
-    BOOST_TEST(standby.onMessage(LEADER, handover {state.shard, 1, 10, 6}, START, actions));
+    BOOST_TEST(standby.onMessage(LEADER, handover{state.shard, 1, 10, 6}, START, actions));
     BOOST_CHECK(standby.role() == shard_role::Standby);
     standby.onLogRead(START, 6);
-    standby.onMessage(LEADER, handover {state.shard, 1, 10, 6}, START, actions);
+    standby.onMessage(LEADER, handover{state.shard, 1, 10, 6}, START, actions);
     BOOST_CHECK(standby.role() == shard_role::Leader);
 }
--- a/tests/unit/kerneltest.cpp
+++ b/tests/unit/kerneltest.cpp
@@ -46,8 +46,8 @@
     journal.clear();
     kernel core;
     BOOST_TEST(core.start() == make_error_code(error_kind::Internal));
-    const std::vector<std::string> expected {"start1", "start2", "start3", "drain2",
-                                             "drain1", "stop2",  "stop1"};
+    const std::vector<std::string> expected{"start1", "start2", "start3", "drain2",
+                                            "drain1", "stop2",  "stop1"};
     BOOST_TEST(journal == expected, boost::test_tools::per_element());
 }
 
--- a/tests/unit/ledgertest.cpp
+++ b/tests/unit/ledgertest.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-const incarnation_id EXECUTOR {"i1", 1};
-const incarnation_id OTHER {"i2", 2};
-const wall_time WALL {milliseconds(1700000000000)};
-const instant NOW {std::chrono::seconds(100)};
+const incarnation_id EXECUTOR{"i1", 1};
+const incarnation_id OTHER{"i2", 2};
+const wall_time WALL{milliseconds(1700000000000)};
+const instant NOW{std::chrono::seconds(100)};
 
 std::string idAt(wall_time created, const std::string &name = "a")
 {
@@ -30,7 +30,7 @@
 
 struct fixture {
     ledger_settings settings;
-    request_ledger ledger {settings};
+    request_ledger ledger{settings};
     std::string id = idAt(WALL);
 
     ledger_decision admit(const std::string &requestId, std::uint64_t token = 1,
--- a/tests/unit/ownershiptest.cpp
+++ b/tests/unit/ownershiptest.cpp
@@ -8,22 +8,22 @@
 
 namespace {
 
-const shard_id ORDERS {"orders", 0};
-const shard_id BILLING {"billing", 0};
-const incarnation_id FIRST {"i1", 1};
-const incarnation_id SECOND {"i2", 2};
-const incarnation_id THIRD {"i3", 3};
+const shard_id ORDERS{"orders", 0};
+const shard_id BILLING{"billing", 0};
+const incarnation_id FIRST{"i1", 1};
+const incarnation_id SECOND{"i2", 2};
+const incarnation_id THIRD{"i3", 3};
 
 ownership_record claim(const shard_id &shard, term_number previous, const incarnation_id &leader,
                        const incarnation_id &standby)
 {
-    return {{}, leader.instance, claim_record {shard, previous, leader, standby}};
+    return {{}, leader.instance, claim_record{shard, previous, leader, standby}};
 }
 
 ownership_record move(const shard_id &shard, term_number term, slot_index slot, epoch_number epoch,
                       const target_id &owner)
 {
-    return {{}, "", move_record {shard, term, {{slot, epoch, owner, move_cause::Rebalance}}}};
+    return {{}, "", move_record{shard, term, {{slot, epoch, owner, move_cause::Rebalance}}}};
 }
 
 /// Applies records from offset 0 on.
@@ -93,20 +93,20 @@
     BOOST_REQUIRE(earlier.size() == 2U);
     BOOST_TEST(earlier[0].bounded);
     BOOST_TEST(!earlier[1].bounded);
-    replay.apply(3, {{}, "i1", settled_record {ORDERS, 3, false}});
+    replay.apply(3, {{}, "i1", settled_record{ORDERS, 3, false}});
     BOOST_TEST(replay.find(ORDERS)->earlier.empty());
 }
 
 BOOST_AUTO_TEST_CASE(start_from_a_checkpoint_equals_replay_from_the_beginning)
 {
-    const std::vector<ownership_record> records {
+    const std::vector<ownership_record> records{
             claim(ORDERS, 0, FIRST, SECOND),  move(ORDERS, 1, 0, 0, "t1"),
             claim(BILLING, 0, SECOND, FIRST), move(ORDERS, 1, 0, 2, "t2"),
             move(ORDERS, 1, 1, 0, "t1"),
     };
     ownership_replay whole = replayOf(records);
-    const ownership_record ordersCheckpoint {{}, "i1", whole.checkpoint(ORDERS)};
-    const ownership_record billingCheckpoint {{}, "i1", whole.checkpoint(BILLING)};
+    const ownership_record ordersCheckpoint{{}, "i1", whole.checkpoint(ORDERS)};
+    const ownership_record billingCheckpoint{{}, "i1", whole.checkpoint(BILLING)};
     const auto late = move(ORDERS, 1, 1, 5, "t2");
     whole.apply(5, late);
     whole.apply(6, ordersCheckpoint);
@@ -127,7 +127,7 @@
 BOOST_AUTO_TEST_CASE(checkpoint_before_the_first_kept_record_is_not_used)
 {
     ownership_replay whole = replayOf({claim(ORDERS, 0, FIRST, SECOND)});
-    const ownership_record checkpoint {{}, "i1", whole.checkpoint(ORDERS)};
+    const ownership_record checkpoint{{}, "i1", whole.checkpoint(ORDERS)};
     ownership_replay partial;
     partial.restart(5); // Records 1 to 4 are gone and the checkpoint does not contain them.
     BOOST_CHECK(partial.apply(5, checkpoint) == replay_verdict::Void);
@@ -137,7 +137,7 @@
 BOOST_AUTO_TEST_CASE(shard_that_is_newer_than_a_checkpoint_is_known_through_its_index)
 {
     ownership_replay whole = replayOf({claim(ORDERS, 0, FIRST, SECOND)});
-    const ownership_record checkpoint {{}, "i1", whole.checkpoint(ORDERS)};
+    const ownership_record checkpoint{{}, "i1", whole.checkpoint(ORDERS)};
     ownership_replay partial;
     partial.restart(1);
     partial.apply(1, claim(BILLING, 0, SECOND, FIRST));
--- a/tests/unit/peercodectest.cpp
+++ b/tests/unit/peercodectest.cpp
@@ -13,7 +13,7 @@
 
 peer_envelope sample()
 {
-    admit_request body {{"orders", 3}, "1700000000000-a", 5, 6, 7, 8};
+    admit_request body{{"orders", 3}, "1700000000000-a", 5, 6, 7, 8};
     return {{"i1", 42}, 9, false, body};
 }
 
--- a/tests/unit/routingtest.cpp
+++ b/tests/unit/routingtest.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 const instant FAR = boot_clock::now() + std::chrono::hours(1);
-const flow_id FLOW {"member", "order"};
+const flow_id FLOW{"member", "order"};
 
 /// A path and headers, and what parsing makes of them.
 struct request_row {
@@ -32,7 +32,7 @@
     return stream << row.path << ' ' << row.header << ": " << row.value;
 }
 
-const std::vector<request_row> REQUESTS {
+const std::vector<request_row> REQUESTS{
         {"/v1/services/orders/order/deli 9", "", "", error_kind::BadRequest},
         {"/v1/services/orders/order/deli9", "", "", error_kind::None},
         {"/v1/services/orders/order/a/b", "", "", error_kind::None},
@@ -97,14 +97,31 @@
 BOOST_AUTO_TEST_CASE(second_crash_quarantines_a_request_and_no_other)
 {
     quarantine table;
-    table.noteCrash("orders", 1);
+    BOOST_TEST(table.noteCrash("orders", 1, "t1"));
     BOOST_TEST(!table.isQuarantined("orders", 1));
-    table.noteCrash("orders", 1);
+    BOOST_TEST(table.noteCrash("orders", 1, "t2"));
     BOOST_TEST(table.isQuarantined("orders", 1));
     BOOST_TEST(!table.isQuarantined("orders", 2));
     BOOST_TEST(!table.isQuarantined("billing", 1));
 }
 
+BOOST_AUTO_TEST_CASE(many_copies_lost_with_one_target_count_once)
+{
+    quarantine table;
+    for (int copy = 0; copy < 10; ++copy)
+        table.noteCrash("orders", 1, "t1");
+    BOOST_TEST(!table.isQuarantined("orders", 1));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_was_answered_is_never_suspected)
+{
+    quarantine table;
+    table.noteAnswer("orders", 1);
+    for (const auto *target : {"t1", "t2", "t3"})
+        BOOST_TEST(!table.noteCrash("orders", 1, target));
+    BOOST_TEST(!table.isQuarantined("orders", 1));
+}
+
 BOOST_AUTO_TEST_CASE(retries_are_a_tenth_of_requests_once_the_reserve_is_spent)
 {
     retry_budget budget;
--- a/tests/unit/settingstest.cpp
+++ b/tests/unit/settingstest.cpp
@@ -40,7 +40,7 @@
     return stream << row.pointer << " = " << row.value;
 }
 
-const std::vector<fault_row> DAEMON_FAULTS {
+const std::vector<fault_row> DAEMON_FAULTS{
         {"/instance", 5, "instance"},
         {"/unknown_field", true, "unknown_field"},
         {"/caller_listener/port", 0, "caller_listener.port"},
@@ -59,7 +59,7 @@
         {"/coordination", {{"lease", 100}}, "coordination.lease"},
 };
 
-const std::vector<fault_row> ROUTING_FAULTS {
+const std::vector<fault_row> ROUTING_FAULTS{
         {"/services/orders/slots", 0, "services.orders.slots"},
         {"/services/orders/slots", 1.5, "services.orders.slots"},
         {"/services/orders/shards", 9, "services.orders.shards"},
