--- a/include/clementinebeam/configuration/configurationreplay.h
+++ b/include/clementinebeam/configuration/configurationreplay.h
@@ -55,6 +55,10 @@
     Invalid,
 };
 
+/// @param verdict a verdict.
+/// @return its name as operators see it.
+std::string_view patchVerdictName(patch_verdict verdict) noexcept;
+
 /// One line of the configuration's history.
 struct patch_result {
     record_id id;
--- a/src/configuration/internal/configurationreplay.cpp
+++ b/src/configuration/internal/configurationreplay.cpp
@@ -52,6 +52,19 @@
 
 } // namespace
 
+std::string_view patchVerdictName(patch_verdict verdict) noexcept
+{
+    switch (verdict) {
+    case patch_verdict::Accepted:
+        return "accepted";
+    case patch_verdict::Conflict:
+        return "conflict";
+    case patch_verdict::Invalid:
+        break;
+    }
+    return "invalid";
+}
+
 std::vector<std::string> touchedPaths(const nlohmann::json &patch)
 {
     std::vector<std::string> paths;
--- a/src/controlplane/internal/streamreader.cpp
+++ b/src/controlplane/internal/streamreader.cpp
@@ -9,19 +9,6 @@
 
 constexpr std::chrono::milliseconds READ_TIMEOUT{500};
 
-std::string_view verdictName(patch_verdict verdict)
-{
-    switch (verdict) {
-    case patch_verdict::Accepted:
-        return "accepted";
-    case patch_verdict::Conflict:
-        return "conflict";
-    case patch_verdict::Invalid:
-        break;
-    }
-    return "invalid";
-}
-
 std::string joined(const std::vector<std::string> &texts)
 {
     std::string all;
@@ -97,7 +84,7 @@
         return;
     m_audit->add({CONFIGURATION_STREAM, entry.offset, "patch",
                   patch->department + '/' + patch->author, joined(outcome->touchedPaths),
-                  std::string(verdictName(outcome->verdict)),
+                  std::string(patchVerdictName(outcome->verdict)),
                   "base " + std::to_string(patch->baseVersion) + ", now "
                           + std::to_string(outcome->version)});
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,9 +1,9 @@
 #include "clementinebeam/configuration/daemonsettings.h"
 #include "clementinebeam/kernel/kernel.h"
 #include "clementinebeam/kernel/randomsource.h"
+#include "clementinebeam/kernel/stopsignals.h"
 #include "clementinebeam/observability/logline.h"
 
-#include <csignal>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -46,20 +46,9 @@
     return std::get<daemon_settings>(std::move(parsed));
 }
 
-/// Blocks the stop signals in this thread and all that it starts.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int run(const daemon_settings &settings)
 {
-    const auto signals = blockStopSignals();
+    stop_signals stopSignals;
     startLogging(settings.instance, FLAGS_verbose ? log_level::Debug : log_level::Info);
     auto random = makeSystemSeededSource();
     const incarnation_id self{settings.instance, random()};
@@ -76,8 +65,7 @@
             .add("callers", settings.callerListener.text())
             .add("operators", settings.operatorListener.text())
             .add("peers", settings.peerListener.text());
-    int signal = 0;
-    sigwait(&signals, &signal);
+    const int signal = stopSignals.wait();
     log_line(log_level::Info, "stopping").add("signal", signal);
     core.stop();
     log_line(log_level::Info, "stopped");
--- a/src/observability/internal/logline.cpp
+++ b/src/observability/internal/logline.cpp
@@ -54,7 +54,7 @@
 void startLogging(const std::string &instance, log_level level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-            "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p instance=" + instance + " %m%n");
+            "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p instance=" + instance + " %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
             layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::Logger::getRootLogger()->removeAllAppenders();
--- a/src/operators/internal/jsonviews.cpp
+++ b/src/operators/internal/jsonviews.cpp
@@ -4,19 +4,6 @@
 
 namespace {
 
-const char *verdictName(patch_verdict verdict)
-{
-    switch (verdict) {
-    case patch_verdict::Accepted:
-        return "accepted";
-    case patch_verdict::Conflict:
-        return "conflict";
-    case patch_verdict::Invalid:
-        break;
-    }
-    return "invalid";
-}
-
 const char *roleName(shard_role role)
 {
     switch (role) {
@@ -39,7 +26,7 @@
         problems.push_back(problem.text());
     return {
             {"offset", result.offset},
-            {"verdict", verdictName(result.verdict)},
+            {"verdict", patchVerdictName(result.verdict)},
             {"base_version", result.baseVersion},
             {"version", result.version},
             {"department", result.department},
--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -1,6 +1,6 @@
+#include "clementinebeam/kernel/stopsignals.h"
 #include "platformserver.h"
 
-#include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 
@@ -14,11 +14,7 @@
     using namespace clementinebeam;
     gflags::SetUsageMessage("stand-in for the platform: log streams and instance list");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    stop_signals stopSignals;
     platform_server server({FLAGS_address, static_cast<std::uint16_t>(FLAGS_port)},
                            std::chrono::milliseconds(FLAGS_retention_ms),
                            std::chrono::milliseconds(FLAGS_list_lag_ms));
@@ -26,8 +22,7 @@
         std::cerr << "event=start_failed error=\"" << error.message() << "\"\n";
         return 1;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    stopSignals.wait();
     server.stop();
     return 0;
 }
--- a/src/standins/target/main.cpp
+++ b/src/standins/target/main.cpp
@@ -1,6 +1,6 @@
+#include "clementinebeam/kernel/stopsignals.h"
 #include "targetserver.h"
 
-#include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <random>
@@ -21,11 +21,7 @@
     using namespace clementinebeam;
     gflags::SetUsageMessage("stand-in for a target that owns keys");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    stop_signals stopSignals;
     target_behaviour behaviour;
     behaviour.id = FLAGS_id;
     behaviour.address = {FLAGS_address, static_cast<std::uint16_t>(FLAGS_port)};
@@ -42,8 +38,7 @@
         std::cerr << "event=start_failed error=\"" << error.message() << "\"\n";
         return 1;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    stopSignals.wait();
     server.stop();
     return 0;
 }
