--- a/src/bench/loadexperiment.cpp
+++ b/src/bench/loadexperiment.cpp
@@ -175,6 +175,7 @@
         events.insert(events.end(), report.events.begin(), report.events.end());
     }
     std::vector<double> loads;
+    loads.reserve(loadByOwner.size());
     for (const auto &[owner, load] : loadByOwner)
         loads.push_back(load);
     const auto imbalance = measureImbalance(loads);
@@ -205,6 +206,7 @@
     const auto start = boot_clock::now();
     for (std::size_t number = 0; number < experiment.connections; ++number)
         connections.push_back(std::make_unique<load_connection>(experiment, number, start));
+    threads.reserve(connections.size());
     for (auto &connection : connections)
         threads.emplace_back([&connection] { connection->run(); });
     for (auto &thread : threads)
--- a/src/bench/policyexperiment.cpp
+++ b/src/bench/policyexperiment.cpp
@@ -111,6 +111,7 @@
                 found->second += m_loads[slot.slot];
         }
         std::vector<double> loads;
+        loads.reserve(byTarget.size());
         for (const auto &[target, load] : byTarget)
             loads.push_back(load);
         const auto summary = measureImbalance(loads);
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -14,12 +14,13 @@
 
 const std::vector<std::size_t> INSTANCES{1, 2, 3, 4};
 
-nlohmann::json serviceDocument()
+nlohmann::json serviceDocument(bool checksGrants)
 {
     return {{"services",
              {{cluster::SERVICE,
                {{"department", "all"},
                 {"slots", 12},
+                {"checks_grants", checksGrants},
                 {"kinds",
                  {{"order", {{"idempotent", false}}}, {"status", {{"idempotent", true}}}}}}}}}};
 }
@@ -36,10 +37,11 @@
     history::history events;
     std::unique_ptr<callers> load;
 
-    fixture()
+    explicit fixture(bool checksGrants = true)
     {
+        const auto checks = std::string("--checks_grants=") + (checksGrants ? "true" : "false");
         for (std::size_t target = 1; target <= 3; ++target)
-            system.startTarget(target, {"--crash_marker=CRASH"});
+            system.startTarget(target, {"--crash_marker=CRASH", checks});
         for (const auto instance : INSTANCES)
             system.startInstance(instance);
         for (const auto instance : INSTANCES)
@@ -47,7 +49,7 @@
                 const auto document = system.status(instance);
                 return document.is_object() && document["ready"] == true;
             }));
-        submit(1, 0, serviceDocument());
+        submit(1, 0, serviceDocument(checksGrants));
         BOOST_REQUIRE(system.waitServed(1));
         load = std::make_unique<callers>(system, INSTANCES, 8);
         BOOST_REQUIRE(load->waitAnswered(200));
@@ -85,6 +87,13 @@
     }
 };
 
+/// The same with targets that serve whatever they are sent.
+struct unchecked_fixture : fixture {
+    unchecked_fixture()
+        : fixture(false)
+    { }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(process_suite, fixture)
@@ -252,4 +261,44 @@
     finish("crashing request");
 }
 
+BOOST_AUTO_TEST_CASE(lost_data_centre_takes_an_instance_and_a_target)
+{
+    system.signalProcess("i3", SIGKILL);
+    system.signalProcess("t3", SIGKILL);
+    BOOST_TEST(system.waitFor(
+            [&] { return system.slots(1).dump().find("\"t3\"") == std::string::npos; }));
+    BOOST_TEST(system.waitServed(1));
+    BOOST_TEST(load->waitAnswered(300));
+    finish("lost data centre");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(unchecked_suite, unchecked_fixture)
+
+BOOST_AUTO_TEST_CASE(killed_target_without_checks_is_replaced)
+{
+    system.signalProcess("t1", SIGKILL);
+    BOOST_TEST(system.waitFor(
+            [&] { return system.slots(1).dump().find("\"t1\"") == std::string::npos; }));
+    BOOST_TEST(system.waitServed(1));
+    BOOST_TEST(load->waitAnswered(300));
+    finish("killed target without checks");
+}
+
+BOOST_AUTO_TEST_CASE(drained_target_without_checks_and_a_killed_leader)
+{
+    events.departures.push_back({"t3", boot_clock::now().time_since_epoch().count()});
+    system.listLeaving(3);
+    BOOST_TEST(system.waitFor(
+            [&] { return system.slots(1).dump().find("\"t3\"") == std::string::npos; }));
+    const auto leader = system.leader(1);
+    const auto witness = fixture::otherThan(leader);
+    system.signalProcess("i" + std::to_string(leader), SIGKILL);
+    BOOST_TEST(system.waitFor([&] { return system.leader(witness) != leader; }));
+    BOOST_TEST(system.waitServed(witness));
+    BOOST_TEST(load->waitAnswered(300));
+    finish("drained target without checks, killed leader");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
