--- a/include/clementinebeam/kernel/orderedmutex.h
+++ b/include/clementinebeam/kernel/orderedmutex.h
@@ -6,11 +6,7 @@
 
 /// Position of a lock in the global order; a thread takes locks in ascending order only.
 enum class lock_rank {
-    ModuleState = 10,
-    ConfigurationTable = 20,
-    OwnershipTable = 30,
-    ShardTable = 40,
-    LedgerTable = 50,
+    ShardTable = 40, ///< Shard controllers, ledgers and replays.
     RoutingTable = 60,
     TargetTable = 70,
     ConnectionPool = 80,
--- a/src/controlplane/controlplanemodule.cpp
+++ b/src/controlplane/controlplanemodule.cpp
@@ -17,7 +17,7 @@
         m_plane = std::make_shared<control_plane>(*services.find<const incarnation_id>(),
                                                   *services.find<const daemon_settings>());
         services.provide<i_control_plane>(m_plane);
-        services.provide<i_routing_table>(m_plane);
+        services.provide<i_routing_table>(m_plane->routes());
         return {};
     }
 
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -204,41 +204,12 @@
 
 void control_plane::publishView()
 {
-    auto next = std::make_shared<routing_view>();
+    std::shared_ptr<routing_view> next;
     {
         const ordered_lock lock(m_shards.mutex());
-        next->configuration = m_reader->configuration().current();
-        for (const auto &[name, service] : next->configuration->routing.services) {
-            auto &route = next->services[name];
-            route.slots.resize(service.slots);
-            route.shards.resize(service.shards);
-            for (std::uint32_t index = 0; index < service.shards; ++index) {
-                const auto *state = m_reader->ownership().find({name, index});
-                if (!state)
-                    continue;
-                route.shards[index] = {state->term, state->leader.instance};
-                for (slot_index slot = index; slot < service.slots && slot < state->slots.size();
-                     slot += service.shards)
-                    route.slots[slot] = {state->slots[slot].owner, state->slots[slot].epoch};
-            }
-        }
-    }
-    {
-        const std::lock_guard lock(m_viewMutex);
-        const auto previous = m_view.load();
-        next->serial = previous ? previous->serial + 1 : 1;
-        m_view.store(std::move(next));
+        next = view_publisher::makeView(m_reader->configuration().current(), m_reader->ownership());
     }
-    m_viewChanged.notify_all();
-}
-
-void control_plane::waitForNewer(std::uint64_t serial, instant until) const
-{
-    std::unique_lock lock(m_viewMutex);
-    m_viewChanged.wait_for(lock, until - boot_clock::now(), [&] {
-        const auto current = m_view.load();
-        return current && current->serial > serial;
-    });
+    m_routes->publish(std::move(next));
 }
 
 void control_plane::notifyPeers()
@@ -456,13 +427,14 @@
         m_services.log->append(CONFIGURATION_STREAM, payload, [this] { wakeReader(); });
         const auto retryAt = std::min(deadline, boot_clock::now() + PATCH_RETRY);
         while (boot_clock::now() < retryAt) {
-            const auto serial = view() ? view()->serial : 0;
+            const auto current = m_routes->view();
+            const auto serial = current ? current->serial : 0;
             {
                 const ordered_lock lock(m_shards.mutex());
                 if (const auto *found = m_reader->configuration().find(record.id))
                     return *found;
             }
-            waitForNewer(serial, retryAt);
+            m_routes->waitForNewer(serial, retryAt);
         }
     }
     return make_error_code(error_kind::LogUnavailable);
--- a/src/controlplane/internal/controlplane.h
+++ b/src/controlplane/internal/controlplane.h
@@ -6,6 +6,7 @@
 #include "clementinebeam/routing/iquarantine.h"
 #include "internal/admissionservice.h"
 #include "internal/streamreader.h"
+#include "internal/viewpublisher.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -25,7 +26,7 @@
 };
 
 /// Runs shard controllers, replays and ledgers on this instance's threads and connections.
-class control_plane : public i_control_plane, public i_routing_table
+class control_plane : public i_control_plane
 {
 public:
     control_plane(const incarnation_id &self, const daemon_settings &settings);
@@ -48,8 +49,8 @@
     bool isReady() const override { return m_ready; }
     void addLoad(const shard_id &shard, slot_index slot, double seconds) override;
 
-    std::shared_ptr<const routing_view> view() const override { return m_view.load(); }
-    void waitForNewer(std::uint64_t serial, instant until) const override;
+    /// @return the table that this control plane keeps up to date.
+    std::shared_ptr<i_routing_table> routes() const { return m_routes; }
 
 private:
     void readLoop();
@@ -85,9 +86,7 @@
     mutable ordered_mutex m_listingMutex{lock_rank::PeerTable};
     std::vector<listing> m_listings;
 
-    std::atomic<std::shared_ptr<const routing_view>> m_view;
-    mutable std::mutex m_viewMutex;
-    mutable std::condition_variable m_viewChanged;
+    std::shared_ptr<view_publisher> m_routes = std::make_shared<view_publisher>();
 
     std::mutex m_wakeMutex;
     std::condition_variable m_wake;
