Refuse a malformed version in the tool's wait command

Cause: std::stoull threw and ended the tool. Ruled out: other commands; they send text to the instance, which checks it. Conclusion: mended.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -4,6 +4,7 @@
 #include "formatter.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -238,7 +239,14 @@
 
 exit_code runWait(const command_context &context)
 {
-    return waitInForce(context, std::stoull(context.arguments[0]));
+    const auto &text = context.arguments[0];
+    std::uint64_t version = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        std::cerr << "wait: expected a version number, found " << text << '\n';
+        return exit_code::Usage;
+    }
+    return waitInForce(context, version);
 }
 
 exit_code changeDrain(const command_context &context, const nlohmann::json &value)
