Measure overload; divide by the time that a run really took

Cause: the bench divided by the asked duration, so a run that fell behind its arrivals looked faster. Ruled out: a fault of the queues: with deadlines of 300 ms 150 connections cannot overload two targets.

--- a/src/bench/loadexperiment.cpp
+++ b/src/bench/loadexperiment.cpp
@@ -158,7 +158,7 @@
     return longest;
 }
 
-nlohmann::json combine(const load_experiment &experiment,
+nlohmann::json combine(boot_clock::duration elapsed,
                        const std::vector<std::unique_ptr<load_connection>> &connections)
 {
     std::vector<std::chrono::microseconds> latencies;
@@ -180,7 +180,8 @@
         loads.push_back(load);
     const auto imbalance = measureImbalance(loads);
     const auto summary = summarize(latencies);
-    const auto seconds = std::chrono::duration<double>(experiment.duration).count();
+    // Longer than asked for if the connections could not keep up with the arrivals.
+    const auto seconds = std::chrono::duration<double>(elapsed).count();
     return {
             {"requests", summary.count},
             {"per_second", static_cast<double>(summary.count) / seconds},
@@ -211,7 +212,7 @@
         threads.emplace_back([&connection] { connection->run(); });
     for (auto &thread : threads)
         thread.join();
-    return combine(experiment, connections);
+    return combine(boot_clock::now() - start, connections);
 }
 
 } // namespace clementinebeam
