Record a lapse that a request notices first in the target stand-in

Cause: the history checker reported two owners once in the frozen-target test. The stand-in dropped its slots when a request arrived before a control message, and only the latter wrote the lapse; the history then extended the old ownership with the next lease. Conclusion: the check stays as strict as it was; the recording is right now.

--- a/src/standins/target/targetserver.cpp
+++ b/src/standins/target/targetserver.cpp
@@ -96,10 +96,7 @@
         return {400, {}, ""};
     const std::lock_guard lock(m_mutex);
     const auto now = boot_clock::now();
-    if (m_leases.expire(now))
-        m_history.write({{"event", "lapse"},
-                         {"target", m_behaviour.id},
-                         {"lease_until_us", microseconds(m_leases.leaseUntil())}});
+    expireLease(now);
     const auto before = m_leases.held();
     auto reply = m_leases.apply(
             message.value(), [this](slot_index slot) { return isRunning(slot); }, now);
@@ -110,6 +107,15 @@
     return {200, {}, encodeControlReply(reply)};
 }
 
+/// Drops all slots after the lease and records it; the mutex is held.
+void target_server::expireLease(instant now)
+{
+    if (m_leases.expire(now))
+        m_history.write({{"event", "lapse"},
+                         {"target", m_behaviour.id},
+                         {"lease_until_us", microseconds(m_leases.leaseUntil())}});
+}
+
 void target_server::recordOwnership(const std::map<slot_index, epoch_number> &before)
 {
     const auto &after = m_leases.held();
@@ -183,8 +189,9 @@
 {
     const std::lock_guard lock(m_mutex);
     if (m_behaviour.checksGrants) {
-        const auto reason =
-                m_leases.check(head.slot, head.epoch, head.term, false, boot_clock::now());
+        const auto now = boot_clock::now();
+        expireLease(now);
+        const auto reason = m_leases.check(head.slot, head.epoch, head.term, false, now);
         if (reason != error_kind::None)
             return reason;
     }
@@ -223,8 +230,9 @@
 {
     const std::lock_guard lock(m_mutex);
     if (m_behaviour.checksGrants) {
-        const auto reason =
-                m_leases.check(head.slot, head.epoch, head.term, true, boot_clock::now());
+        const auto now = boot_clock::now();
+        expireLease(now);
+        const auto reason = m_leases.check(head.slot, head.epoch, head.term, true, now);
         if (reason != error_kind::None)
             return reason;
     }
--- a/src/standins/target/targetserver.h
+++ b/src/standins/target/targetserver.h
@@ -66,6 +66,7 @@
     error_kind admit(const request_head &head);
     error_kind execute(const request_head &head, const std::string &body);
     error_kind commit(const request_head &head);
+    void expireLease(instant now);
     void endRequest(const std::string &exchangeId);
     bool isCancelled(const std::string &exchangeId);
     bool isRunning(slot_index slot) const;
--- a/tests/contract/targetcontract.cpp
+++ b/tests/contract/targetcontract.cpp
@@ -1,9 +1,12 @@
+#include "historychecker.h"
 #include "internal/httptargetclient.h"
 #include "ports.h"
 #include "targetserver.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdio>
 #include <future>
+#include <thread>
 
 using namespace clementinebeam;
 using std::chrono::milliseconds;
@@ -125,3 +128,37 @@
     BOOST_CHECK(answer.reason == error_kind::AnswerIncomplete);
     BOOST_TEST(!answer.isNotRun);
 }
+
+BOOST_AUTO_TEST_CASE(lapse_that_a_request_notices_first_is_recorded)
+{
+    constexpr milliseconds SHORT_LEASE{50};
+    auto behaviour = behaviourAt(22);
+    char path[] = "/tmp/clementinebeam-history-XXXXXX";
+    BOOST_REQUIRE(mkstemp(path) >= 0);
+    behaviour.historyFile = path;
+    target_server server(behaviour, 11);
+    BOOST_REQUIRE(!server.start());
+    http_target_client client(1);
+    client.setTargets({{"t1", testAddress(22)}});
+    std::uint64_t nonce = 0;
+    const auto control = [&](std::uint64_t sequence, std::vector<slot_grant> grants) {
+        control_request request{{"orders", 0},     2,  sequence, "i1", nonce, SHORT_LEASE,
+                                std::move(grants), {}, {}};
+        std::promise<result<control_reply>> promise;
+        client.control("t1", request, milliseconds(2000), [&promise](result<control_reply> reply) {
+            promise.set_value(std::move(reply));
+        });
+        nonce = promise.get_future().get().value().nonce;
+    };
+    control(1, {});
+    control(2, {{3, 5}});
+    std::this_thread::sleep_for(SHORT_LEASE * 2);
+    BOOST_CHECK(client.call("t1", fixture::request(5, 2)).reason == error_kind::WrongEpoch);
+    control(3, {});
+    control(4, {});
+    history::history events;
+    history::loadTargetHistory(path, "orders", events);
+    std::remove(path);
+    for (const auto &item : events.ownerships)
+        BOOST_TEST(item.until - item.from <= std::chrono::microseconds(SHORT_LEASE).count());
+}
