--- a/include/clementinebeam/controlplane/icontrolplane.h
+++ b/include/clementinebeam/controlplane/icontrolplane.h
@@ -3,8 +3,8 @@
 #include "clementinebeam/configuration/configurationreplay.h"
 #include "clementinebeam/coordination/coordinationtypes.h"
 #include "clementinebeam/kernel/result.h"
+#include "clementinebeam/nativelog/nativelogtypes.h"
 #include "clementinebeam/peering/peermessages.h"
-#include "clementinebeam/platform/platformtypes.h"
 
 #include <vector>
 
--- /dev/null
+++ b/include/clementinebeam/dispatch/ikeydirectory.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "clementinebeam/dispatch/dispatchtypes.h"
+
+namespace clementinebeam {
+
+/// Tells which target owns a key.
+class i_key_directory
+{
+public:
+    virtual ~i_key_directory() = default;
+
+    /// @param key a key.
+    /// @return its owner, or an empty id while it has none.
+    virtual target_id ownerOf(key_number key) const = 0;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/include/clementinebeam/gateway/gatewaysettings.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "clementinebeam/configuration/settingsproblem.h"
+#include "clementinebeam/gateway/gatewaytypes.h"
+#include "clementinebeam/http/httptypes.h"
+#include "clementinebeam/kernel/identifiers.h"
+
+#include <string>
+#include <variant>
+
+namespace clementinebeam {
+
+/// Settings of one gateway process.
+struct gateway_settings {
+    instance_id instance;
+    std::string dataCentre;
+    network_address callerListener;
+    network_address readinessListener;
+    network_address peerListener; ///< UDP; instances ask each other for places here.
+    network_address metricsListener;
+    network_address store;
+    std::uint32_t storeParts = 1; ///< Parts that the store gives each topic.
+    service_bounds bounds;
+};
+
+/// @param text JSON with comments.
+/// @return the settings, or every problem found.
+std::variant<gateway_settings, settings_problems> parseGatewaySettings(const std::string &text);
+
+} // namespace clementinebeam
--- a/include/clementinebeam/platform/iinstancelist.h
+++ b/include/clementinebeam/nativelog/iinstancelist.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clementinebeam/kernel/result.h"
-#include "clementinebeam/platform/platformtypes.h"
+#include "clementinebeam/nativelog/nativelogtypes.h"
 
 #include <chrono>
 
--- a/include/clementinebeam/platform/ilogclient.h
+++ b/include/clementinebeam/nativelog/ilogclient.h
@@ -2,7 +2,7 @@
 
 #include "clementinebeam/kernel/bootclock.h"
 #include "clementinebeam/kernel/result.h"
-#include "clementinebeam/platform/platformtypes.h"
+#include "clementinebeam/nativelog/nativelogtypes.h"
 
 #include <functional>
 
--- /dev/null
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -0,0 +1,204 @@
+#include "clementinebeam/asynchttp/clientconnection.h"
+
+#include "clementinebeam/asynchttp/sockets.h"
+
+#include <boost/beast/http/write.hpp>
+
+namespace clementinebeam {
+
+namespace {
+
+constexpr std::size_t READ_SIZE = 8192;
+/// Largest answer that is kept in memory, in bytes; equals the platform's limit for bodies.
+constexpr std::uint64_t MAX_ANSWER_BYTES = 64ULL << 20;
+/// Answers to earlier calls that are skipped before the connection is given up.
+constexpr std::size_t MAX_DROPPED_ANSWERS = 3;
+
+} // namespace
+
+client_connection::client_connection(boost::asio::io_context &context, tcp_endpoint peer,
+                                     std::chrono::milliseconds connectTimeout)
+    : m_socket(context)
+    , m_connectTimer(context)
+    , m_peer(std::move(peer))
+    , m_connectTimeout(connectTimeout)
+{ }
+
+void client_connection::exchange(http_call call, answer_filter filter, completion done)
+{
+    m_call = std::move(call);
+    m_filter = std::move(filter);
+    m_done = std::move(done);
+    m_hasSent = false;
+    m_droppedAnswers = 0;
+    resetParser();
+    if (m_state == state::Unconnected) {
+        connect();
+        return;
+    }
+    m_state = state::Busy;
+    startWrite();
+}
+
+void client_connection::connect()
+{
+    m_state = state::Connecting;
+    m_connectTimer.expires_after(m_connectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error && self->m_state == state::Connecting)
+            self->fail(exchange_failure::NotSent);
+    });
+    m_socket.async_connect(m_peer, [self = shared_from_this()](boost::system::error_code error) {
+        if (self->m_state != state::Connecting)
+            return;
+        self->m_connectTimer.cancel();
+        if (error) {
+            self->fail(exchange_failure::NotSent);
+            return;
+        }
+        prepareSocket(self->m_socket);
+        if (self->m_isProbed)
+            probeWhileIdle(self->m_socket);
+        self->m_state = state::Busy;
+        self->startWrite();
+        self->startRead();
+    });
+}
+
+void client_connection::startWrite()
+{
+    m_isWriting = true;
+    m_hasSent = true;
+    boost::beast::http::async_write(
+            m_socket, m_call,
+            [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                self->m_isWriting = false;
+                // The reading side reports a lost connection; it may still hold a whole answer.
+                if (error)
+                    self->m_isTainted = true;
+            });
+}
+
+void client_connection::startRead()
+{
+    m_socket.async_read_some(
+            m_buffer.prepare(READ_SIZE),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                if (self->m_state == state::Closed)
+                    return;
+                if (error) {
+                    self->onEndOfStream(error == boost::asio::error::eof);
+                    return;
+                }
+                self->m_buffer.commit(size);
+                self->onBytes();
+            });
+}
+
+void client_connection::onBytes()
+{
+    if (m_state == state::Idle) {
+        close();
+        if (m_onClosed)
+            m_onClosed();
+        return;
+    }
+    while (m_state == state::Busy && m_buffer.size() > 0 && parseOnce()) { }
+    if (m_state == state::Busy || m_state == state::Idle)
+        startRead();
+}
+
+bool client_connection::parseOnce()
+{
+    boost::system::error_code error;
+    const auto consumed = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(consumed);
+    if (error && error != boost::beast::http::error::need_more) {
+        fail(exchange_failure::MalformedAnswer);
+        return false;
+    }
+    if (m_parser->is_done()) {
+        finishAnswer();
+        return true;
+    }
+    return consumed > 0 && !error;
+}
+
+void client_connection::finishAnswer()
+{
+    if (m_parser->get().result_int() / 100 == 1) {
+        resetParser();
+        return;
+    }
+    if (m_filter && !m_filter(m_parser->get())) {
+        m_isTainted = true;
+        if (++m_droppedAnswers > MAX_DROPPED_ANSWERS) {
+            fail(exchange_failure::MalformedAnswer);
+            return;
+        }
+        resetParser();
+        return;
+    }
+    auto answer = m_parser->release();
+    m_parser.reset();
+    if (m_isWriting || m_buffer.size() > 0 || !answer.keep_alive())
+        m_isTainted = true;
+    m_state = state::Idle;
+    const auto self = shared_from_this();
+    const auto done = std::move(m_done);
+    m_done = nullptr;
+    if (m_isTainted)
+        close();
+    done(exchange_failure::None, std::move(answer));
+}
+
+void client_connection::onEndOfStream(bool wasOrderly)
+{
+    if (m_state == state::Idle || !m_done) {
+        close();
+        if (m_onClosed)
+            m_onClosed();
+        return;
+    }
+    const bool isStarted = m_parser && m_parser->got_some();
+    if (wasOrderly && m_parser && m_parser->is_header_done() && m_parser->need_eof()) {
+        boost::system::error_code error;
+        m_parser->put_eof(error);
+        m_isTainted = true;
+        if (!error && m_parser->is_done()) {
+            finishAnswer();
+            if (m_state == state::Busy)
+                fail(exchange_failure::ConnectionLost);
+            return;
+        }
+    }
+    fail(isStarted ? exchange_failure::MalformedAnswer : exchange_failure::ConnectionLost);
+}
+
+void client_connection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->body_limit(MAX_ANSWER_BYTES);
+    if (m_call.method() == boost::beast::http::verb::head)
+        m_parser->skip(true);
+}
+
+void client_connection::fail(exchange_failure failure)
+{
+    const auto self = shared_from_this();
+    const auto done = std::move(m_done);
+    close();
+    if (done)
+        done(failure, {});
+}
+
+void client_connection::close()
+{
+    m_state = state::Closed;
+    m_done = nullptr;
+    m_connectTimer.cancel();
+    closeQuietly(m_socket);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -0,0 +1,276 @@
+#include "clementinebeam/asynchttp/serverconnection.h"
+
+#include "clementinebeam/asynchttp/sockets.h"
+#include "clementinebeam/observability/logline.h"
+
+#include <boost/beast/http/write.hpp>
+
+namespace clementinebeam {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t READ_SIZE = 4096;
+/// Bytes that may wait behind the request in work, before reading stops.
+constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
+/// Pause after a failed accept, as when descriptors run out.
+constexpr std::chrono::milliseconds ACCEPT_RETRY{50};
+/// Accepted connections between two sweeps over the closed ones.
+constexpr std::size_t SWEEP_INTERVAL = 32;
+
+unsigned statusOf(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+} // namespace
+
+http_answer makeOwnAnswer(unsigned status, std::string body)
+{
+    http_answer answer;
+    answer.version(11);
+    answer.result(status);
+    answer.body() = std::move(body);
+    answer.prepare_payload();
+    return answer;
+}
+
+server_connection::server_connection(boost::asio::ip::tcp::socket socket,
+                                     i_request_handler &handler)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_handler(handler)
+{ }
+
+void server_connection::start()
+{
+    prepareSocket(m_socket);
+    resetParser();
+    armTimer(m_handler.limits().idleTimeout);
+    startRead();
+}
+
+void server_connection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(m_handler.limits().headerBytes);
+    m_parser->body_limit(m_handler.limits().bodyBytes);
+    m_hasContinued = false;
+}
+
+void server_connection::armTimer(std::chrono::milliseconds limit)
+{
+    m_timer.expires_after(limit);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->m_isHandling && !self->m_isWriting)
+            self->close();
+    });
+}
+
+void server_connection::startRead()
+{
+    if (m_isReading || m_isClosed || m_buffer.size() >= MAX_PIPELINED_BYTES)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(
+            m_buffer.prepare(READ_SIZE),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                self->m_isReading = false;
+                if (self->m_isClosed)
+                    return;
+                if (error) {
+                    self->close();
+                    return;
+                }
+                self->m_buffer.commit(size);
+                self->onBytes();
+            });
+}
+
+void server_connection::onBytes()
+{
+    if (!m_isHandling && !m_isWriting)
+        parse();
+    startRead();
+}
+
+void server_connection::parse()
+{
+    if (!m_parser->got_some())
+        armTimer(m_handler.limits().headerTimeout);
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        boost::system::error_code error;
+        const auto consumed = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(consumed);
+        if (error && error != http::error::need_more) {
+            onParseError(error);
+            return;
+        }
+        if (error || consumed == 0)
+            break;
+    }
+    if (!m_parser->is_done()) {
+        sendContinue();
+        return;
+    }
+    m_timer.cancel();
+    m_isHandling = true;
+    auto call = m_parser->release();
+    if (!call.keep_alive())
+        m_isLast = true;
+    m_handler.handle(std::move(call), shared_from_this());
+}
+
+void server_connection::sendContinue()
+{
+    if (m_hasContinued || !m_parser->is_header_done()
+        || m_parser->get()[http::field::expect] != "100-continue")
+        return;
+    m_hasContinued = true;
+    static const std::string INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(
+            m_socket, boost::asio::buffer(INTERIM),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                if (error)
+                    self->close();
+            });
+}
+
+void server_connection::onParseError(const boost::system::error_code &error)
+{
+    log_line(log_level::Info, "malformed_request").add("error", error.message());
+    m_isHandling = true;
+    m_isLast = true;
+    respond(makeOwnAnswer(statusOf(error), "malformed request\n"));
+}
+
+void server_connection::respond(http_answer answer)
+{
+    m_onLeft = nullptr;
+    if (m_isClosed || !m_isHandling)
+        return;
+    m_isHandling = false;
+    m_isWriting = true;
+    m_answer = std::move(answer);
+    if (m_isLast)
+        m_answer.keep_alive(false);
+    http::async_write(m_socket, m_answer,
+                      [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                          self->m_isWriting = false;
+                          if (self->m_isClosed)
+                              return;
+                          if (error || self->m_isLast) {
+                              self->close();
+                              return;
+                          }
+                          self->resetParser();
+                          self->armTimer(self->m_handler.limits().idleTimeout);
+                          if (self->m_buffer.size() > 0)
+                              self->parse();
+                          self->startRead();
+                      });
+}
+
+void server_connection::finish()
+{
+    m_isLast = true;
+    if (!isBusy())
+        close();
+}
+
+void server_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_timer.cancel();
+    closeQuietly(m_socket);
+    const auto left = std::move(m_onLeft);
+    m_onLeft = nullptr;
+    if (left)
+        left();
+}
+
+server_listener::server_listener(boost::asio::io_context &context, i_request_handler &handler)
+    : m_context(context)
+    , m_acceptor(context)
+    , m_retryTimer(context)
+    , m_handler(handler)
+{ }
+
+std::error_code server_listener::listen(const tcp_endpoint &address)
+{
+    boost::system::error_code error;
+    m_acceptor.open(address.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(address, error);
+    if (!error)
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (!error)
+        accept();
+    return error;
+}
+
+void server_listener::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error,
+                                   boost::asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (error) {
+            log_line(log_level::Warning, "accept_failed").add("error", error.message());
+            m_retryTimer.expires_after(ACCEPT_RETRY);
+            m_retryTimer.async_wait([this](boost::system::error_code waitError) {
+                if (!waitError)
+                    accept();
+            });
+            return;
+        }
+        const auto connection = std::make_shared<server_connection>(std::move(socket), m_handler);
+        if (++m_acceptedSinceSweep >= SWEEP_INTERVAL)
+            forgetClosed();
+        m_connections.insert(connection);
+        connection->start();
+        accept();
+    });
+}
+
+void server_listener::forgetClosed()
+{
+    m_acceptedSinceSweep = 0;
+    std::erase_if(m_connections, [](const auto &connection) { return connection->isClosed(); });
+}
+
+void server_listener::stopAccepting()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+void server_listener::finishAll()
+{
+    forgetClosed();
+    const auto connections = m_connections;
+    for (const auto &connection : connections)
+        connection->finish();
+}
+
+bool server_listener::isBusy()
+{
+    forgetClosed();
+    for (const auto &connection : m_connections) {
+        if (connection->isBusy())
+            return true;
+    }
+    return false;
+}
+
+} // namespace clementinebeam
--- a/src/configuration/internal/configurationreplay.cpp
+++ b/src/configuration/internal/configurationreplay.cpp
@@ -1,6 +1,6 @@
 #include "clementinebeam/configuration/configurationreplay.h"
 
-#include "internal/settingsreader.h"
+#include "clementinebeam/configuration/settingsreader.h"
 
 #include <algorithm>
 
--- a/src/configuration/internal/daemonsettings.cpp
+++ b/src/configuration/internal/daemonsettings.cpp
@@ -1,6 +1,6 @@
 #include "clementinebeam/configuration/daemonsettings.h"
 
-#include "internal/settingsreader.h"
+#include "clementinebeam/configuration/settingsreader.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/src/configuration/internal/servicesettings.cpp
+++ b/src/configuration/internal/servicesettings.cpp
@@ -1,7 +1,7 @@
 #include "clementinebeam/configuration/servicesettings.h"
 
 #include "clementinebeam/assignment/policycatalogue.h"
-#include "internal/settingsreader.h"
+#include "clementinebeam/configuration/settingsreader.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/configuration/internal/settingsreader.cpp
+++ b/src/configuration/internal/settingsreader.cpp
@@ -1,4 +1,4 @@
-#include "internal/settingsreader.h"
+#include "clementinebeam/configuration/settingsreader.h"
 
 namespace clementinebeam {
 
--- a/src/controlplane/internal/actionrunner.h
+++ b/src/controlplane/internal/actionrunner.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "clementinebeam/nativelog/ilogclient.h"
 #include "clementinebeam/ownership/ownershipreplay.h"
 #include "clementinebeam/peering/ipeertransport.h"
-#include "clementinebeam/platform/ilogclient.h"
 #include "clementinebeam/targets/itargetclient.h"
 #include "internal/shardtable.h"
 
--- a/src/controlplane/internal/controlplane.h
+++ b/src/controlplane/internal/controlplane.h
@@ -2,7 +2,7 @@
 
 #include "clementinebeam/controlplane/icontrolplane.h"
 #include "clementinebeam/controlplane/routingview.h"
-#include "clementinebeam/platform/iinstancelist.h"
+#include "clementinebeam/nativelog/iinstancelist.h"
 #include "clementinebeam/routing/iquarantine.h"
 #include "internal/admissionservice.h"
 #include "internal/streamreader.h"
--- a/src/controlplane/internal/shardtable.h
+++ b/src/controlplane/internal/shardtable.h
@@ -4,7 +4,7 @@
 #include "clementinebeam/configuration/daemonsettings.h"
 #include "clementinebeam/coordination/shardcontroller.h"
 #include "clementinebeam/kernel/orderedmutex.h"
-#include "clementinebeam/platform/platformtypes.h"
+#include "clementinebeam/nativelog/nativelogtypes.h"
 #include "clementinebeam/targets/grantproxy.h"
 #include "internal/ledgerkeeper.h"
 #include "internal/loadcollector.h"
--- a/src/controlplane/internal/streamreader.h
+++ b/src/controlplane/internal/streamreader.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "clementinebeam/configuration/configurationreplay.h"
+#include "clementinebeam/nativelog/ilogclient.h"
 #include "clementinebeam/observability/iaudittrail.h"
 #include "clementinebeam/observability/imetrics.h"
 #include "clementinebeam/ownership/ownershipreplay.h"
-#include "clementinebeam/platform/ilogclient.h"
 #include "internal/actionrunner.h"
 #include "internal/shardtable.h"
 
--- a/src/routing/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include "internal/retrybudget.h"
+#include "clementinebeam/dispatch/retrybudget.h"
 
 #include <algorithm>
 
@@ -7,7 +7,7 @@
 void retry_budget::deposit()
 {
     const std::lock_guard lock(m_mutex);
-    m_balance = std::min(CAPACITY, m_balance + DEPOSIT);
+    m_balance = std::min(m_capacity, m_balance + m_share);
 }
 
 bool retry_budget::withdraw()
--- /dev/null
+++ b/src/dispatch/internal/targetestimate.cpp
@@ -0,0 +1,68 @@
+#include "clementinebeam/dispatch/targetestimate.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Weight of the newest answer; about the last eight answers count.
+constexpr double SMOOTHING = 0.2;
+/// Suspension after a rejection; about one service time, in which a slot becomes free.
+constexpr milliseconds REJECTION_PAUSE{60};
+/// Suspension after a lost connection: a request or two per second find out whether it goes on.
+constexpr milliseconds LOSS_PAUSE{100};
+/// Suspension after a refused connection or a timeout.
+constexpr milliseconds SILENCE_PAUSE{400};
+/// Longest suspension; a restarted target is back in use within this time.
+constexpr milliseconds MAX_PAUSE{1600};
+constexpr std::uint32_t MAX_DOUBLINGS = 4;
+
+} // namespace
+
+target_estimate::target_estimate(std::chrono::microseconds initial)
+    : m_serviceTime(initial)
+{ }
+
+void target_estimate::note(const run_report &report, instant now)
+{
+    switch (report.result) {
+    case run_result::Answered: {
+        const auto sample = static_cast<double>(report.duration.count());
+        const auto mean = static_cast<double>(m_serviceTime.count());
+        const double weight = m_hasSample ? SMOOTHING : 0.5;
+        m_serviceTime = std::chrono::microseconds(
+                static_cast<std::int64_t>(mean + weight * (sample - mean)));
+        m_hasSample = true;
+        m_failures = 0;
+        m_suspendedUntil = instant{};
+        break;
+    }
+    case run_result::NotExecuted:
+        suspend(REJECTION_PAUSE, now);
+        break;
+    case run_result::Lost:
+        suspend(LOSS_PAUSE, now);
+        break;
+    case run_result::NotSent:
+    case run_result::TimedOut:
+        suspend(SILENCE_PAUSE, now);
+        break;
+    case run_result::WrongOwner:
+    case run_result::Abandoned:
+    case run_result::NotUsed:
+        break;
+    }
+}
+
+void target_estimate::suspend(milliseconds least, instant now)
+{
+    const auto doublings = std::min(m_failures, MAX_DOUBLINGS);
+    ++m_failures;
+    const auto pause = std::min(least * (1U << doublings), MAX_PAUSE);
+    m_suspendedUntil = std::max(m_suspendedUntil, now + pause);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -0,0 +1,317 @@
+#include "internal/coordinatedservice.h"
+
+#include "clementinebeam/observability/logline.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Targets answer grants within milliseconds.
+constexpr milliseconds GRANT_TIMEOUT{500};
+/// A release is answered once the running work has ended, which may take some service times.
+constexpr milliseconds RELEASE_TIMEOUT{2500};
+/// Time between two looks at holds and loads of keys.
+constexpr milliseconds KEY_INTERVAL{50};
+constexpr milliseconds REPORT_INTERVAL{2000};
+/// Leaving owners of keys still get requests for this time, until their keys have moved; well below
+/// the time after which they must not get any.
+constexpr milliseconds LEAVING_OWNER_TIME{1000};
+constexpr milliseconds TARGET_UPDATE_INTERVAL{250};
+/// Part of the system's slack for second sends that one coordinator may use; a successor starts
+/// with as much again within the same window.
+constexpr double RETRY_SLACK_SHARE = 0.35;
+constexpr double RETRY_SHARE_MARGIN = 0.8;
+constexpr unsigned HTTP_OK = 200;
+constexpr unsigned HTTP_CONFLICT = 409;
+constexpr unsigned HTTP_MISDIRECTED = 421;
+
+dispatch_settings dispatchSettings(const service_bounds &bounds)
+{
+    dispatch_settings settings;
+    settings.retryShare = bounds.retryShare * RETRY_SHARE_MARGIN;
+    settings.retryCapacity = bounds.retrySlack * RETRY_SLACK_SHARE;
+    return settings;
+}
+
+coordinator_settings keySettings(const service_bounds &bounds)
+{
+    coordinator_settings settings;
+    settings.longHold = std::min(settings.longHold, bounds.holdMax);
+    settings.hold = std::min(settings.hold, bounds.holdMax);
+    return settings;
+}
+
+order_result resultOf(exchange_failure failure, unsigned status)
+{
+    if (failure == exchange_failure::NotSent)
+        return order_result::NotSent;
+    if (failure != exchange_failure::None)
+        return order_result::Unanswered;
+    if (status == HTTP_OK)
+        return order_result::Accepted;
+    if (status == HTTP_CONFLICT)
+        return order_result::Superseded;
+    // Another target has the address and did nothing.
+    return status == HTTP_MISDIRECTED ? order_result::NotSent : order_result::Unanswered;
+}
+
+const char *nameOf(order_result value)
+{
+    switch (value) {
+    case order_result::Accepted:
+        return "accepted";
+    case order_result::Superseded:
+        return "superseded";
+    case order_result::NotSent:
+        return "not_sent";
+    case order_result::Unanswered:
+        break;
+    }
+    return "unanswered";
+}
+
+template <class order_type>
+void logOrder(log_level level, std::string_view event, const service_name &service,
+              const order_type &order, std::string_view outcome)
+{
+    log_line(level, event)
+            .add("service", service)
+            .add("target", order.target)
+            .add("first", order.keys.first)
+            .add("last", order.keys.last)
+            .add("fence", order.fence)
+            .add("outcome", outcome);
+}
+
+} // namespace
+
+coordinated_service::coordinated_service(environment around, ownership_record record, bool isKeyed,
+                                         const service_bounds &bounds, instant claimedAt)
+    : m_around(std::move(around))
+    , m_name(record.service)
+    , m_record(std::move(record))
+    , m_dispatcher(dispatchSettings(bounds), isKeyed ? &m_owners : nullptr)
+    , m_controlPool(m_around.context)
+    , m_timer(m_around.context)
+    , m_isAlive(std::make_shared<bool>(true))
+{
+    if (isKeyed)
+        m_keys.emplace(keySettings(bounds), m_record, claimedAt, boot_clock::now());
+}
+
+coordinated_service::~coordinated_service()
+{
+    *m_isAlive = false;
+}
+
+void coordinated_service::updateTargets()
+{
+    const auto now = boot_clock::now();
+    m_nextTargetUpdate = now + TARGET_UPDATE_INTERVAL;
+    std::vector<dispatch_target> targets;
+    std::vector<key_holder> holders;
+    for (const auto &[id, listed] : m_around.targets.targets()) {
+        const auto &entry = listed.entry;
+        if (entry.service != m_name)
+            continue;
+        const auto service = std::max(
+                0.001, std::chrono::duration<double>(m_dispatcher.serviceTimeOf(id)).count());
+        holders.push_back({id, entry.incarnation, entry.slots / service, listed.isLeaving()});
+        const bool isOwnerStill = m_keys && now < listed.leavingSince + LEAVING_OWNER_TIME;
+        if (listed.isLeaving() && !isOwnerStill)
+            continue;
+        targets.push_back({id, entry.dataCentre, entry.slots, listed.isLeaving(), entry.coldFor});
+    }
+    m_dispatcher.setTargets(targets, now);
+    if (m_keys)
+        m_keys->setHolders(holders);
+    act();
+}
+
+void coordinated_service::enqueue(const dispatch_request &request)
+{
+    if (m_keys && request.key && !request.isRetry)
+        m_keys->noteRequest(*request.key);
+    dispatch_decisions decisions;
+    m_dispatcher.enqueue(request, boot_clock::now(), decisions);
+    deliver(std::move(decisions));
+    schedule();
+}
+
+void coordinated_service::complete(const run_report &report)
+{
+    dispatch_decisions decisions;
+    m_dispatcher.complete(report, boot_clock::now(), decisions);
+    deliver(std::move(decisions));
+    schedule();
+}
+
+void coordinated_service::deliver(dispatch_decisions decisions)
+{
+    for (const auto &decision : decisions) {
+        m_around.metrics.observeQueueWait(m_name, decision.waited);
+        m_around.onDecision(decision);
+    }
+}
+
+void coordinated_service::confirmRight(instant seenAt)
+{
+    if (m_keys)
+        m_keys->confirmRight(seenAt);
+}
+
+void coordinated_service::setStoreReachable(bool isReachable)
+{
+    if (m_keys)
+        m_keys->setStoreReachable(isReachable);
+}
+
+void coordinated_service::onStored(fence_number nextFence)
+{
+    if (!m_keys)
+        return;
+    m_keys->onStored(nextFence);
+    act();
+}
+
+ownership_record coordinated_service::record() const
+{
+    return m_keys ? m_keys->record() : m_record;
+}
+
+void coordinated_service::act()
+{
+    if (m_isActing)
+        return;
+    m_isActing = true;
+    const auto now = boot_clock::now();
+    if (m_keys)
+        advanceKeys(now);
+    dispatch_decisions decisions;
+    m_dispatcher.advance(now, decisions);
+    deliver(std::move(decisions));
+    m_isActing = false;
+    schedule();
+}
+
+void coordinated_service::advanceKeys(instant now)
+{
+    const auto actions = m_keys->advance(now);
+    for (const auto &order : actions.releases)
+        sendRelease(order);
+    for (const auto &order : actions.grants)
+        sendGrant(order);
+    if (actions.wantsStore)
+        m_around.onStoreWanted();
+    updateOwners(now);
+    if (now >= m_nextReport)
+        reportKeys();
+}
+
+void coordinated_service::updateOwners(instant now)
+{
+    if (m_keys->revision() == m_ownersRevision && now < m_nextReport)
+        return;
+    m_ownersRevision = m_keys->revision();
+    m_owners.assign(m_keys->served(now));
+}
+
+void coordinated_service::reportKeys()
+{
+    const auto now = boot_clock::now();
+    m_nextReport = now + REPORT_INTERVAL;
+    std::size_t served = 0;
+    for (const auto &range : m_keys->served(now))
+        served += range.keys.size();
+    m_around.metrics.setKeys(m_name, served, KEY_COUNT - served);
+    m_around.metrics.countKeyMoves(m_name, m_keys->moveCount() - m_reportedMoves);
+    m_reportedMoves = m_keys->moveCount();
+}
+
+void coordinated_service::schedule()
+{
+    const auto now = boot_clock::now();
+    auto next = m_dispatcher.nextDeadline(now);
+    if (m_keys)
+        next = std::min(next, now + KEY_INTERVAL);
+    if (next == instant::max()) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_after(next - now);
+    m_timer.async_wait([this, isAlive = m_isAlive](boost::system::error_code error) {
+        if (error || !*isAlive)
+            return;
+        if (boot_clock::now() >= m_nextTargetUpdate)
+            updateTargets();
+        else
+            act();
+    });
+}
+
+void coordinated_service::sendGrant(const grant_order &order)
+{
+    call(order.target, m_around.format.grantCall(order), GRANT_TIMEOUT,
+         [this, order](order_result outcome, const std::string &) {
+             if (outcome != order_result::Accepted)
+                 logOrder(log_level::Warning, "grant_failed", m_name, order, nameOf(outcome));
+             m_keys->onGrantResult(order, outcome, boot_clock::now());
+             if (outcome == order_result::Accepted)
+                 act();
+         });
+}
+
+void coordinated_service::sendRelease(const release_order &order)
+{
+    call(order.target, m_around.format.releaseCall(order), RELEASE_TIMEOUT,
+         [this, order](order_result outcome, const std::string &handover) {
+             logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
+             m_keys->onReleaseResult(order, outcome, handover, boot_clock::now());
+             act();
+         });
+}
+
+void coordinated_service::call(const target_id &target, http_call request, milliseconds timeout,
+                               std::function<void(order_result, const std::string &)> done)
+{
+    const auto *listed = m_around.targets.find(target);
+    const auto isAlive = m_isAlive;
+    if (!listed) {
+        boost::asio::post(m_around.context, [isAlive, done = std::move(done)] {
+            if (*isAlive)
+                done(order_result::NotSent, {});
+        });
+        return;
+    }
+    const auto entry = listed->entry;
+    const auto connection = m_controlPool.take(entry);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_around.context);
+    const auto finished = std::make_shared<bool>(false);
+    timer->expires_after(timeout);
+    timer->async_wait([=](boost::system::error_code error) {
+        if (error || *finished || !*isAlive)
+            return;
+        *finished = true;
+        const bool hasSent = connection->hasSent();
+        connection->close();
+        done(hasSent ? order_result::Unanswered : order_result::NotSent, {});
+    });
+    request.set(boost::beast::http::field::host, entry.address.text());
+    connection->exchange(std::move(request), {},
+                         [=, this](exchange_failure failure, http_answer &&answer) {
+                             if (*finished || !*isAlive)
+                                 return;
+                             *finished = true;
+                             timer->cancel();
+                             const auto context = m_around.format.readAnswer(answer);
+                             m_controlPool.giveBack(entry, connection, context.idleTimeout);
+                             done(resultOf(failure, answer.result_int()), context.handover);
+                         });
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/coordinatedservice.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "clementinebeam/dispatch/servicedispatcher.h"
+#include "clementinebeam/gateway/imessageformat.h"
+#include "clementinebeam/gateway/targetdirectory.h"
+#include "clementinebeam/keyspace/keycoordinator.h"
+#include "clementinebeam/keyspace/keymap.h"
+#include "internal/gatewaymetrics.h"
+#include "internal/targetpool.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace clementinebeam {
+
+/// Runs the dispatcher and, for a keyed service, the key coordinator of one service that this
+/// instance coordinates: carries out their actions and brings them the results.
+class coordinated_service
+{
+public:
+    /// Takes decisions about requests.
+    using decision_handler = std::function<void(const dispatch_decision &)>;
+    /// Asks for the service's record to be stored.
+    using store_handler = std::function<void()>;
+
+    struct environment {
+        boost::asio::io_context &context;
+        const i_message_format &format;
+        const target_directory &targets;
+        gateway_metrics &metrics;
+        decision_handler onDecision;
+        store_handler onStoreWanted;
+    };
+
+    /// @param around what the service works with.
+    /// @param record the stored claim of this instance.
+    /// @param isKeyed whether targets of the service own keys.
+    /// @param bounds the users' figures.
+    /// @param claimedAt when the claim was sent.
+    coordinated_service(environment around, ownership_record record, bool isKeyed,
+                        const service_bounds &bounds, instant claimedAt);
+    ~coordinated_service();
+
+    /// Begins to act; to be called once the owner can take decisions.
+    void start() { updateTargets(); }
+
+    void enqueue(const dispatch_request &request);
+    void complete(const run_report &report);
+
+    const dispatch_decision *placed(request_token token) const
+    {
+        return m_dispatcher.placed(token);
+    }
+    bool isWaiting(request_token token) const { return m_dispatcher.isWaiting(token); }
+
+    /// Takes the present targets from the directory.
+    void updateTargets();
+
+    void confirmRight(instant seenAt);
+    void setStoreReachable(bool isReachable);
+    void onStored(fence_number nextFence);
+
+    /// @return the record to be stored.
+    ownership_record record() const;
+
+private:
+    void act();
+    void advanceKeys(instant now);
+    void updateOwners(instant now);
+    void deliver(dispatch_decisions decisions);
+    void schedule();
+    void sendGrant(const grant_order &order);
+    void sendRelease(const release_order &order);
+    void call(const target_id &target, http_call request, std::chrono::milliseconds timeout,
+              std::function<void(order_result, const std::string &)> done);
+    void reportKeys();
+
+    environment m_around;
+    service_name m_name;
+    ownership_record m_record;
+    key_map m_owners;
+    service_dispatcher m_dispatcher;
+    std::optional<key_coordinator> m_keys;
+    target_pool m_controlPool;
+    boost::asio::steady_timer m_timer;
+    std::uint64_t m_ownersRevision = 0;
+    std::uint64_t m_reportedMoves = 0;
+    instant m_nextReport{};
+    instant m_nextTargetUpdate{};
+    bool m_isActing = false;
+    std::shared_ptr<bool> m_isAlive;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/coordination.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "clementinebeam/gateway/iclusterstore.h"
+#include "clementinebeam/gateway/routetable.h"
+#include "internal/coordinatedservice.h"
+
+#include <deque>
+#include <set>
+
+namespace clementinebeam {
+
+/// Decides with the store's help which services this instance coordinates.
+///
+/// The store divides parts of a group among the instances that stay in it, and each service belongs
+/// to one part. The holder of the part claims the service with a record that is appended only if
+/// the stream ends where the claimer has read it to; so of two claimers one fails, and a
+/// coordinator that was replaced can store nothing more.
+class coordination
+{
+public:
+    struct environment {
+        boost::asio::io_context &context;
+        i_cluster_store &store;
+        const i_message_format &format;
+        const target_directory &targets;
+        gateway_metrics &metrics;
+        service_bounds bounds;
+        std::string peerAddress;      ///< Where other instances ask this one for places.
+        std::uint64_t processRun = 0; ///< Tells runs of this process apart.
+        /// Takes decisions about requests of a service.
+        std::function<void(const service_name &, const dispatch_decision &)> onDecision;
+        /// Called when the coordinator of a service has changed.
+        std::function<void(const service_name &)> onCoordinatorChanged;
+    };
+
+    explicit coordination(environment around);
+
+    void start();
+
+    /// Leaves the group, so that others take over; goes on coordinating until they did.
+    void leave();
+
+    /// Takes the services of a new configuration.
+    void setServices(const std::vector<routed_service> &services);
+
+    void onTargetsChanged();
+    void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
+                     instant askedAt);
+    void setStoreReachable(bool isReachable);
+
+    bool isCoordinating() const { return !m_coordinated.empty(); }
+
+    /// @return the service's coordination by this instance, or null.
+    coordinated_service *coordinated(const service_name &service);
+
+    /// @return the newest ownership record of a service, or null.
+    const ownership_record *record(const service_name &service) const;
+
+    /// @return whether the newest record of a service names this process.
+    bool isOwn(const ownership_record &record) const
+    {
+        return record.coordinatorRun == m_around.processRun;
+    }
+
+private:
+    void join();
+    void scheduleJoin(std::chrono::milliseconds delay);
+    void considerClaims();
+    void claim(const routed_service &service);
+    ownership_record claimOf(const routed_service &service) const;
+    bool isResponsibleFor(const service_name &service) const;
+    void storeNext();
+    void onAppended(const ownership_record &record, bool isClaim, instant sentAt,
+                    const append_outcome &outcome);
+    void take(const ownership_record &record, instant claimedAt);
+    void resign(const service_name &service, const ownership_record &successor);
+
+    environment m_around;
+    std::string m_memberName;
+    boost::asio::steady_timer m_joinTimer;
+    boost::asio::steady_timer m_retryTimer;
+    std::vector<routed_service> m_services;
+    std::set<std::uint32_t> m_parts;
+    std::uint64_t m_generation = 0;
+    std::map<service_name, ownership_record> m_records;
+    std::map<service_name, std::unique_ptr<coordinated_service>> m_coordinated;
+    std::set<service_name> m_unstored; ///< Services whose record is to be stored.
+    std::uint64_t m_end = 0;           ///< Where the ownership stream ends, as far as is known.
+    bool m_isEndKnown = false;
+    bool m_isAppending = false;
+    bool m_isStoreReachable = true;
+    bool m_isLeaving = false;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/gateway.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "clementinebeam/gateway/gatewaysettings.h"
+#include "clementinebeam/gateway/iclusterstore.h"
+#include "clementinebeam/gateway/imessageformat.h"
+#include "internal/coordination.h"
+#include "internal/gatewaymetrics.h"
+#include "internal/peerchannel.h"
+#include "internal/placementclient.h"
+#include "internal/requestexchange.h"
+#include "internal/storefeeds.h"
+
+#include <functional>
+
+namespace clementinebeam {
+
+/// Answers one path with a text that is made for each question.
+class page_server : public i_request_handler
+{
+public:
+    using page_maker = std::function<http_answer()>;
+
+    page_server(std::string path, page_maker maker);
+
+    void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override;
+    const server_limits &limits() const override { return m_limits; }
+
+private:
+    std::string m_path;
+    page_maker m_maker;
+    server_limits m_limits;
+};
+
+/// One instance: takes callers' requests and brings them to the targets that own them.
+class gateway : public i_request_handler, public i_feed_listener
+{
+public:
+    /// @param context the event loop.
+    /// @param settings the settings.
+    /// @param store the platform's store.
+    /// @param format the platform's messages.
+    gateway(boost::asio::io_context &context, const gateway_settings &settings,
+            i_cluster_store &store, const i_message_format &format);
+
+    /// @return an error if an address can't be used.
+    std::error_code start();
+
+    /// Ends in order: not ready at once, then no new connections, then no requests.
+    /// @param done called when nothing is left to do.
+    void stop(std::function<void()> done);
+
+    void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override;
+    const server_limits &limits() const override;
+
+    void onConfiguration(routing_configuration configuration) override;
+    void onTargetsChanged() override;
+    void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
+                     instant askedAt) override;
+    bool isCoordinating() const override { return m_coordination.isCoordinating(); }
+
+private:
+    bool isReady() const;
+    void scheduleUpkeep();
+    void upkeep();
+    void waitForIdle(std::function<void()> done);
+    void answerAtOnce(const std::shared_ptr<server_connection> &connection,
+                      const std::string &requestId, unsigned status, const char *reason);
+    http_answer readinessPage() const;
+    http_answer metricsPage();
+
+    boost::asio::io_context &m_context;
+    const gateway_settings m_settings;
+    const i_message_format &m_format;
+    gateway_metrics m_metrics;
+    target_directory m_targets;
+    target_pool m_pool;
+    peer_channel m_channel;
+    placement_client m_placement;
+    coordination m_coordination;
+    store_feeds m_feeds;
+    exchange_environment m_exchangeEnvironment;
+    std::unique_ptr<route_table> m_routes;
+    server_limits m_defaultLimits;
+    page_server m_readiness;
+    page_server m_metricsPages;
+    server_listener m_callers;
+    server_listener m_readinessListener;
+    server_listener m_metricsListener;
+    boost::asio::steady_timer m_upkeepTimer;
+    boost::asio::steady_timer m_stopTimer;
+    instant m_stopBegin{};
+    instant m_nextReport{};
+    std::uint64_t m_reportedDrops = 0;
+    bool m_wasReady = false;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -0,0 +1,119 @@
+#include "clementinebeam/gateway/gatewaysettings.h"
+
+#include "clementinebeam/configuration/settingsreader.h"
+#include "clementinebeam/kernel/durationtext.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace clementinebeam {
+
+namespace {
+
+constexpr value_range<std::int64_t> PORT_RANGE{1, 65535};
+constexpr value_range<std::int64_t> PARTS_RANGE{1, 1024};
+
+/// Reads "IP:port".
+network_address readAddress(settings_reader &reader, const std::string &field)
+{
+    std::string text;
+    reader.readText(field, text, true);
+    network_address address;
+    if (text.empty())
+        return address;
+    const auto colon = text.rfind(':');
+    const auto portText = colon == std::string::npos ? std::string{} : text.substr(colon + 1);
+    address.host = text.substr(0, colon);
+    in_addr parsed{};
+    const auto *end = portText.data() + portText.size();
+    const auto [stop, error] = std::from_chars(portText.data(), end, address.port);
+    const bool isSound = inet_pton(AF_INET, address.host.c_str(), &parsed) == 1 && stop == end
+            && error == std::errc{} && address.port > 0;
+    if (!isSound)
+        reader.report(field, "an IPv4 number and a port", '"' + text + '"');
+    return address;
+}
+
+/// Reads a text such as "2000ms" or "6s".
+void readDuration(settings_reader &reader, const std::string &field,
+                  std::chrono::milliseconds &value, value_range<std::chrono::milliseconds> range)
+{
+    std::string text;
+    reader.readText(field, text, false);
+    if (!reader.has(field) || text.empty())
+        return;
+    const auto parsed = parseDuration(text);
+    if (parsed && range.least <= *parsed && *parsed <= range.most)
+        value = *parsed;
+    else
+        reader.report(field,
+                      "a time from " + durationText(range.least) + " to "
+                              + durationText(range.most),
+                      '"' + text + '"');
+}
+
+void readBounds(settings_reader &parent, service_bounds &bounds, settings_problems &problems)
+{
+    using std::chrono::milliseconds;
+    settings_reader reader(parent.object("bounds", false), parent.pathOf("bounds"), problems);
+    reader.readReal("retry_share", bounds.retryShare, {0.0, 10.0});
+    reader.readReal("retry_slack", bounds.retrySlack, {0.0, 1e6});
+    readDuration(reader, "drain", bounds.drain, {milliseconds(100), milliseconds(600000)});
+    readDuration(reader, "grace", bounds.grace, {milliseconds(500), milliseconds(600000)});
+    readDuration(reader, "hold_max", bounds.holdMax, {milliseconds(500), milliseconds(600000)});
+    reader.finish();
+}
+
+/// Ports for messages between instances: the first carries them, the second serves metrics.
+void readInternalPorts(settings_reader &reader, gateway_settings &settings)
+{
+    std::string host;
+    reader.readText("address", host, true);
+    in_addr parsed{};
+    if (!host.empty() && inet_pton(AF_INET, host.c_str(), &parsed) != 1)
+        reader.report("address", "an IPv4 number", '"' + host + '"');
+    std::uint16_t port = 0;
+    reader.readInteger("first_internal_port", port, PORT_RANGE, true);
+    settings.peerListener = {host, port};
+    settings.metricsListener = {host, static_cast<std::uint16_t>(port + 1)};
+}
+
+settings_problems syntaxProblem(const std::string &text)
+{
+    try {
+        const auto parsed = nlohmann::json::parse(text, nullptr, true, true);
+        return {};
+    } catch (const nlohmann::json::parse_error &error) {
+        const auto end = std::min(error.byte, text.size());
+        const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<long>(end), '\n');
+        return {{"(document) line " + std::to_string(line), "JSON with comments",
+                 "a syntax error"}};
+    }
+}
+
+} // namespace
+
+std::variant<gateway_settings, settings_problems> parseGatewaySettings(const std::string &text)
+{
+    auto problems = syntaxProblem(text);
+    if (!problems.empty())
+        return problems;
+    const auto document = nlohmann::json::parse(text, nullptr, false, true);
+    gateway_settings settings;
+    settings_reader reader(document, "", problems);
+    reader.readText("instance", settings.instance, true);
+    reader.readText("data_centre", settings.dataCentre, true);
+    settings.callerListener = readAddress(reader, "caller_listener");
+    settings.readinessListener = readAddress(reader, "readiness_listener");
+    readInternalPorts(reader, settings);
+    settings.store = readAddress(reader, "store");
+    reader.readInteger("store_parts", settings.storeParts, PARTS_RANGE);
+    readBounds(reader, settings.bounds, problems);
+    reader.finish();
+    if (!problems.empty())
+        return problems;
+    return settings;
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/peerchannel.cpp
@@ -0,0 +1,78 @@
+#include "internal/peerchannel.h"
+
+#include "clementinebeam/kernel/binarycodec.h"
+#include "clementinebeam/observability/logline.h"
+
+namespace clementinebeam {
+
+namespace {
+
+/// Datagrams that are read in one go before other work gets its turn.
+constexpr int MAX_BATCH = 32;
+
+} // namespace
+
+peer_channel::peer_channel(boost::asio::io_context &context)
+    : m_socket(context)
+{ }
+
+std::error_code peer_channel::open(const udp_endpoint &address, receiver onMessage)
+{
+    m_onMessage = std::move(onMessage);
+    boost::system::error_code error;
+    m_socket.open(address.protocol(), error);
+    if (!error)
+        m_socket.bind(address, error);
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (!error)
+        receive();
+    return error;
+}
+
+void peer_channel::receive()
+{
+    m_socket.async_wait(boost::asio::ip::udp::socket::wait_read,
+                        [this](boost::system::error_code error) {
+                            if (error)
+                                return;
+                            drain();
+                            receive();
+                        });
+}
+
+void peer_channel::drain()
+{
+    for (int count = 0; count < MAX_BATCH; ++count) {
+        boost::system::error_code error;
+        const auto size = m_socket.receive_from(boost::asio::buffer(m_buffer), m_sender, 0, error);
+        if (error == boost::asio::error::would_block)
+            return;
+        // An ICMP error of an earlier send shows up here; the peer's silence is noticed elsewhere.
+        if (!error)
+            accept(size);
+    }
+}
+
+void peer_channel::accept(std::size_t size)
+{
+    auto message = decodeBinary<peer_message>(std::string(m_buffer.data(), size));
+    if (!message) {
+        log_line(log_level::Warning, "peer_message_dropped")
+                .add("peer", m_sender.address().to_string())
+                .add("error", message.error().message());
+        return;
+    }
+    m_onMessage(m_sender, std::move(message.value()));
+}
+
+void peer_channel::send(const udp_endpoint &peer, const peer_message &message)
+{
+    const auto bytes = encodeBinary(message);
+    boost::system::error_code error;
+    m_socket.send_to(boost::asio::buffer(bytes), peer, 0, error);
+    if (error)
+        log_line(log_level::Debug, "peer_send_failed").add("error", error.message());
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/placementclient.cpp
@@ -0,0 +1,441 @@
+#include "internal/placementclient.h"
+
+#include "clementinebeam/kernel/randomsource.h"
+#include "clementinebeam/observability/logline.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Round trips within a region take up to 3 ms; a lost datagram is repeated after this time.
+constexpr milliseconds ASK_AGAIN{45};
+/// A waiting request asks again at this interval, to notice a coordinator that was lost.
+constexpr milliseconds WAITING_INTERVAL{250};
+/// Messages without an answer after which the coordinator counts as silent.
+constexpr std::uint32_t SILENT_MESSAGES = 3;
+/// How long a silent coordinator is not asked.
+constexpr milliseconds SILENCE_TIME{700};
+constexpr milliseconds REPORT_AGAIN{70};
+constexpr std::uint32_t MAX_REPORTS = 5;
+/// Alone, an instance gives each target one request at a time: others do the same.
+constexpr std::uint32_t SLOTS_ALONE = 1;
+constexpr std::size_t MAX_WAITING_ALONE = 16;
+constexpr double RETRY_CAPACITY_ALONE = 1.0;
+constexpr double RETRY_SHARE_ALONE = 0.05;
+/// Requests of other instances that are remembered.
+constexpr std::size_t MAX_ASKERS = 20000;
+/// Leaving targets are not used when deciding alone, but for owners of keys within this time.
+constexpr milliseconds LEAVING_OWNER_TIME{1000};
+
+std::optional<udp_endpoint> parsePeer(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+    boost::system::error_code addressError;
+    const auto address = boost::asio::ip::make_address_v4(text.substr(0, colon), addressError);
+    if (error != std::errc{} || stop != end || addressError)
+        return std::nullopt;
+    return udp_endpoint(address, port);
+}
+
+std::int64_t micros(boost::asio::steady_timer::duration value)
+{
+    return std::chrono::duration_cast<microseconds>(value).count();
+}
+
+place_message messageOf(const service_name &service, const dispatch_request &request, instant now)
+{
+    place_message message;
+    message.service = service;
+    message.token = request.token;
+    message.hasKey = request.key.has_value();
+    message.key = request.key.value_or(0);
+    message.priority = request.priority;
+    message.isRetry = request.isRetry;
+    message.ageUs = micros(now - request.arrival);
+    message.objectiveUs = micros(request.objective - now);
+    message.deadlineUs = micros(request.deadline - now);
+    message.dataCentre = request.dataCentre;
+    message.excluded = request.excluded;
+    message.fingerprint = request.fingerprint;
+    return message;
+}
+
+dispatch_request requestOf(const place_message &message, instant now)
+{
+    dispatch_request request;
+    request.token = message.token;
+    if (message.hasKey)
+        request.key = message.key;
+    request.priority = message.priority;
+    request.isRetry = message.isRetry;
+    request.arrival = now - microseconds(message.ageUs);
+    request.objective = now + microseconds(message.objectiveUs);
+    request.deadline = now + microseconds(message.deadlineUs);
+    request.dataCentre = message.dataCentre;
+    request.excluded = message.excluded;
+    request.fingerprint = message.fingerprint;
+    return request;
+}
+
+placement_message messageOf(const service_name &service, const dispatch_decision &decision)
+{
+    placement_message message;
+    message.service = service;
+    message.token = decision.token;
+    message.target = decision.target;
+    message.reason = static_cast<std::int32_t>(decision.reason);
+    message.retryAfterMs = decision.retryAfter.count();
+    message.waitedUs = decision.waited.count();
+    message.queueLength = static_cast<std::uint32_t>(decision.queueLength);
+    return message;
+}
+
+} // namespace
+
+placement_client::placement_client(boost::asio::io_context &context, peer_channel &channel,
+                                   const target_directory &targets)
+    : m_context(context)
+    , m_channel(channel)
+    , m_targets(targets)
+    , m_nextToken(makeSystemSeededSource()())
+{ }
+
+std::optional<udp_endpoint> placement_client::coordinatorOf(const service_name &service) const
+{
+    const auto *record = m_coordination->record(service);
+    return record ? parsePeer(record->coordinator) : std::nullopt;
+}
+
+bool placement_client::isSilent(const udp_endpoint &peer) const
+{
+    const auto found = m_silentUntil.find(peer);
+    return found != m_silentUntil.end() && boot_clock::now() < found->second;
+}
+
+request_token placement_client::place(const service_name &service, dispatch_request request,
+                                      decision_handler done)
+{
+    const auto item = std::make_shared<pending_request>(m_context);
+    request.token = m_nextToken++;
+    item->service = service;
+    item->request = std::move(request);
+    item->done = std::move(done);
+    m_pending.emplace(item->request.token, item);
+    ask(item);
+    return item->request.token;
+}
+
+void placement_client::ask(const pending_pointer &item)
+{
+    if (auto *own = m_coordination->coordinated(item->service)) {
+        m_placed[item->request.token] = {decider::Coordination, {}};
+        own->enqueue(item->request);
+        return;
+    }
+    const auto peer = coordinatorOf(item->service);
+    if (!peer || isSilent(*peer)) {
+        decideAlone(item);
+        return;
+    }
+    if (item->unanswered >= SILENT_MESSAGES) {
+        log_line(log_level::Warning, "coordinator_silent")
+                .add("service", item->service)
+                .add("coordinator", peer->address().to_string())
+                .add("unanswered", item->unanswered);
+        m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
+        decideAlone(item);
+        return;
+    }
+    ++item->unanswered;
+    m_channel.send(*peer, messageOf(item->service, item->request, boot_clock::now()));
+    askLater(item, ASK_AGAIN);
+}
+
+void placement_client::askLater(const pending_pointer &item, milliseconds delay)
+{
+    item->timer.expires_after(delay);
+    item->timer.async_wait([this, item](boost::system::error_code error) {
+        if (!error && m_pending.contains(item->request.token))
+            ask(item);
+    });
+}
+
+placement_client::local_service &placement_client::local(const service_name &service)
+{
+    auto &item = m_local[service];
+    if (item.dispatcher)
+        return item;
+    const auto *record = m_coordination->record(service);
+    item.isKeyed = record && !record->ranges.empty();
+    dispatch_settings settings;
+    settings.lookahead = 0;
+    settings.maxWaiting = MAX_WAITING_ALONE;
+    settings.retryShare = RETRY_SHARE_ALONE;
+    settings.retryCapacity = RETRY_CAPACITY_ALONE;
+    item.dispatcher =
+            std::make_unique<service_dispatcher>(settings, item.isKeyed ? &item.owners : nullptr);
+    item.timer = std::make_unique<boost::asio::steady_timer>(m_context);
+    updateLocal(service, item);
+    return item;
+}
+
+void placement_client::updateLocal(const service_name &service, local_service &item)
+{
+    const auto now = boot_clock::now();
+    std::vector<dispatch_target> targets;
+    for (const auto &[id, listed] : m_targets.targets()) {
+        const bool isOwnerStill = item.isKeyed && now < listed.leavingSince + LEAVING_OWNER_TIME;
+        if (listed.entry.service != service || (listed.isLeaving() && !isOwnerStill))
+            continue;
+        targets.push_back({id, listed.entry.dataCentre, SLOTS_ALONE, listed.isLeaving(),
+                           listed.entry.coldFor});
+    }
+    item.dispatcher->setTargets(targets, now);
+    if (const auto *record = m_coordination->record(service))
+        item.owners.assign(record->ranges);
+}
+
+void placement_client::updateTargets()
+{
+    for (auto &[service, item] : m_local)
+        updateLocal(service, item);
+}
+
+void placement_client::decideAlone(const pending_pointer &item)
+{
+    item->timer.cancel();
+    m_placed[item->request.token] = {decider::Alone, {}};
+    dispatch_decisions decisions;
+    local(item->service).dispatcher->enqueue(item->request, boot_clock::now(), decisions);
+    for (const auto &decision : decisions)
+        finish(decision);
+    scheduleLocal(item->service);
+}
+
+void placement_client::advanceLocal(const service_name &service)
+{
+    dispatch_decisions decisions;
+    local(service).dispatcher->advance(boot_clock::now(), decisions);
+    for (const auto &decision : decisions)
+        finish(decision);
+    scheduleLocal(service);
+}
+
+void placement_client::scheduleLocal(const service_name &service)
+{
+    auto &item = local(service);
+    const auto now = boot_clock::now();
+    const auto next = item.dispatcher->nextDeadline(now);
+    if (next == instant::max()) {
+        item.timer->cancel();
+        return;
+    }
+    item.timer->expires_after(next - now);
+    item.timer->async_wait([this, service](boost::system::error_code error) {
+        if (!error)
+            advanceLocal(service);
+    });
+}
+
+void placement_client::finish(const dispatch_decision &decision)
+{
+    const auto found = m_pending.find(decision.token);
+    if (found == m_pending.end())
+        return;
+    const auto item = found->second;
+    m_pending.erase(found);
+    item->timer.cancel();
+    if (decision.target.empty())
+        m_placed.erase(decision.token);
+    item->done(decision);
+}
+
+void placement_client::onDecision(const service_name &service, const dispatch_decision &decision)
+{
+    const auto asker = m_askers.find(decision.token);
+    if (asker == m_askers.end()) {
+        finish(decision);
+        return;
+    }
+    m_channel.send(asker->second, messageOf(service, decision));
+    if (decision.target.empty())
+        m_askers.erase(asker);
+}
+
+void placement_client::onCoordinatorChanged(const service_name &service)
+{
+    std::vector<pending_pointer> waiting;
+    for (const auto &[token, item] : m_pending) {
+        if (item->service == service)
+            waiting.push_back(item);
+    }
+    for (const auto &item : waiting) {
+        item->unanswered = 0;
+        ask(item);
+    }
+}
+
+void placement_client::report(const service_name &service, const run_report &report)
+{
+    const auto waiting = m_pending.find(report.token);
+    if (waiting != m_pending.end()) {
+        waiting->second->timer.cancel();
+        m_pending.erase(waiting);
+    }
+    const auto found = m_placed.find(report.token);
+    const auto placed = found == m_placed.end() ? placed_request{decider::Peer, {}} : found->second;
+    m_placed.erase(report.token);
+    if (placed.by == decider::Coordination) {
+        if (auto *own = m_coordination->coordinated(service))
+            own->complete(report);
+        return;
+    }
+    if (placed.by == decider::Alone) {
+        dispatch_decisions decisions;
+        local(service).dispatcher->complete(report, boot_clock::now(), decisions);
+        for (const auto &decision : decisions)
+            finish(decision);
+        scheduleLocal(service);
+        return;
+    }
+    const auto peer = placed.peer.port() != 0 ? std::optional(placed.peer) : coordinatorOf(service);
+    if (!peer)
+        return;
+    const auto item = std::make_shared<unconfirmed_report>(m_context);
+    item->peer = *peer;
+    item->message.service = service;
+    item->message.token = report.token;
+    item->message.result = static_cast<std::uint8_t>(report.result);
+    item->message.durationUs = report.duration.count();
+    if (report.load) {
+        item->message.hasLoad = true;
+        item->message.running = report.load->running;
+        item->message.waiting = report.load->waiting;
+        item->message.slots = report.load->slots;
+    }
+    m_unconfirmed[report.token] = item;
+    sendReport(item);
+}
+
+void placement_client::sendReport(const std::shared_ptr<unconfirmed_report> &item)
+{
+    if (item->tries++ >= MAX_REPORTS) {
+        // The coordinator frees the place itself after the request's deadline.
+        m_unconfirmed.erase(item->message.token);
+        return;
+    }
+    m_channel.send(item->peer, item->message);
+    item->timer.expires_after(REPORT_AGAIN);
+    item->timer.async_wait([this, item](boost::system::error_code error) {
+        if (!error)
+            sendReport(item);
+    });
+}
+
+void placement_client::onMessage(const udp_endpoint &peer, const peer_message &message)
+{
+    m_silentUntil.erase(peer);
+    if (const auto *place = std::get_if<place_message>(&message))
+        takePlaceRequest(peer, *place);
+    else if (const auto *placement = std::get_if<placement_message>(&message))
+        takePlacement(peer, *placement);
+    else if (const auto *ended = std::get_if<ended_message>(&message))
+        takeEnded(peer, *ended);
+    else if (const auto *ack = std::get_if<ended_ack_message>(&message))
+        takeEndedAck(*ack);
+}
+
+void placement_client::takePlaceRequest(const udp_endpoint &peer, const place_message &message)
+{
+    auto *own = m_coordination->coordinated(message.service);
+    if (!own)
+        return; // The asker learns from the store who coordinates now.
+    if (m_askers.size() >= MAX_ASKERS)
+        m_askers.clear(); // Askers that ended without a report; those that live ask again.
+    m_askers[message.token] = peer;
+    if (const auto *decision = own->placed(message.token)) {
+        m_channel.send(peer, messageOf(message.service, *decision));
+        return;
+    }
+    if (!own->isWaiting(message.token))
+        own->enqueue(requestOf(message, boot_clock::now()));
+    if (own->isWaiting(message.token)) {
+        placement_message waiting;
+        waiting.service = message.service;
+        waiting.token = message.token;
+        m_channel.send(peer, waiting);
+    }
+}
+
+void placement_client::takePlacement(const udp_endpoint &peer, const placement_message &message)
+{
+    const auto found = m_pending.find(message.token);
+    if (found == m_pending.end()) {
+        // Decided otherwise meanwhile: the place goes back, unless it is the one in use.
+        const auto placed = m_placed.find(message.token);
+        const bool isInUse = placed != m_placed.end() && placed->second.by == decider::Peer;
+        if (!message.target.empty() && !isInUse && !m_unconfirmed.contains(message.token)) {
+            ended_message unused;
+            unused.service = message.service;
+            unused.token = message.token;
+            unused.result = static_cast<std::uint8_t>(run_result::NotUsed);
+            m_channel.send(peer, unused);
+        }
+        return;
+    }
+    const auto item = found->second;
+    const auto reason = static_cast<error_kind>(message.reason);
+    if (message.target.empty() && reason == error_kind::None) {
+        item->unanswered = 0;
+        askLater(item, WAITING_INTERVAL);
+        return;
+    }
+    dispatch_decision decision;
+    decision.token = message.token;
+    decision.target = message.target;
+    decision.reason = reason;
+    decision.retryAfter = milliseconds(message.retryAfterMs);
+    decision.waited = microseconds(message.waitedUs);
+    decision.queueLength = message.queueLength;
+    if (!decision.target.empty())
+        m_placed[message.token] = {decider::Peer, peer};
+    finish(decision);
+}
+
+void placement_client::takeEnded(const udp_endpoint &peer, const ended_message &message)
+{
+    m_channel.send(peer, ended_ack_message{message.token});
+    m_askers.erase(message.token);
+    auto *own = m_coordination->coordinated(message.service);
+    if (!own || message.result > static_cast<std::uint8_t>(run_result::NotUsed))
+        return;
+    run_report report;
+    report.token = message.token;
+    report.result = static_cast<run_result>(message.result);
+    report.duration = microseconds(message.durationUs);
+    if (message.hasLoad)
+        report.load = target_load{message.running, message.waiting, message.slots};
+    own->complete(report);
+}
+
+void placement_client::takeEndedAck(const ended_ack_message &message)
+{
+    const auto found = m_unconfirmed.find(message.token);
+    if (found == m_unconfirmed.end())
+        return;
+    found->second->timer.cancel();
+    m_unconfirmed.erase(found);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/placementclient.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "clementinebeam/dispatch/servicedispatcher.h"
+#include "clementinebeam/gateway/targetdirectory.h"
+#include "clementinebeam/keyspace/keymap.h"
+#include "internal/coordination.h"
+#include "internal/peerchannel.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace clementinebeam {
+
+/// Finds places for requests that entered here: asks the coordinator of the service, wherever it
+/// is, and decides alone, with small limits, while the coordinator is silent.
+class placement_client
+{
+public:
+    using decision_handler = std::function<void(const dispatch_decision &)>;
+
+    placement_client(boost::asio::io_context &context, peer_channel &channel,
+                     const target_directory &targets);
+
+    /// @param owner who coordinates; has to be set before the first request.
+    void setCoordination(coordination *owner) { m_coordination = owner; }
+
+    /// @param service the service.
+    /// @param request what to place; its token is set here.
+    /// @param done called once with the decision, unless the request is withdrawn.
+    /// @return the token.
+    request_token place(const service_name &service, dispatch_request request,
+                        decision_handler done);
+
+    /// Reports the end of a placed request, or withdraws a waiting one.
+    void report(const service_name &service, const run_report &report);
+
+    /// Takes a message of another instance.
+    void onMessage(const udp_endpoint &peer, const peer_message &message);
+
+    /// Takes a decision of a service that is coordinated here.
+    void onDecision(const service_name &service, const dispatch_decision &decision);
+
+    /// Asks the new coordinator for all requests that wait.
+    void onCoordinatorChanged(const service_name &service);
+
+    /// Takes the present targets and owners for decisions that are made alone.
+    void updateTargets();
+
+    /// @return requests that wait for a place.
+    std::size_t waitingCount() const { return m_pending.size(); }
+
+private:
+    /// A request that entered here and has no decision yet.
+    struct pending_request {
+        explicit pending_request(boost::asio::io_context &context)
+            : timer(context)
+        { }
+
+        service_name service;
+        dispatch_request request;
+        decision_handler done;
+        boost::asio::steady_timer timer;
+        std::uint32_t unanswered = 0; ///< Messages to the coordinator without an answer.
+    };
+
+    /// Decisions that are made alone for one service.
+    struct local_service {
+        key_map owners;
+        std::unique_ptr<service_dispatcher> dispatcher;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+        bool isKeyed = false;
+    };
+
+    /// The report of an ended request, until the coordinator confirms it.
+    struct unconfirmed_report {
+        explicit unconfirmed_report(boost::asio::io_context &context)
+            : timer(context)
+        { }
+
+        ended_message message;
+        udp_endpoint peer;
+        boost::asio::steady_timer timer;
+        std::uint32_t tries = 0;
+    };
+
+    using pending_pointer = std::shared_ptr<pending_request>;
+
+    void ask(const pending_pointer &item);
+    void askLater(const pending_pointer &item, std::chrono::milliseconds delay);
+    void decideAlone(const pending_pointer &item);
+    void advanceLocal(const service_name &service);
+    void scheduleLocal(const service_name &service);
+    local_service &local(const service_name &service);
+    void updateLocal(const service_name &service, local_service &item);
+    void finish(const dispatch_decision &decision);
+    void sendReport(const std::shared_ptr<unconfirmed_report> &item);
+    bool isSilent(const udp_endpoint &peer) const;
+    std::optional<udp_endpoint> coordinatorOf(const service_name &service) const;
+    void takePlaceRequest(const udp_endpoint &peer, const place_message &message);
+    void takePlacement(const udp_endpoint &peer, const placement_message &message);
+    void takeEnded(const udp_endpoint &peer, const ended_message &message);
+    void takeEndedAck(const ended_ack_message &message);
+
+    boost::asio::io_context &m_context;
+    peer_channel &m_channel;
+    const target_directory &m_targets;
+    coordination *m_coordination = nullptr;
+    request_token m_nextToken;
+    std::unordered_map<request_token, pending_pointer> m_pending;
+    /// Where a placed request's end is to be reported; an unspecified address means here, as
+    /// decided by the coordination or alone.
+    enum class decider { Peer, Coordination, Alone };
+    struct placed_request {
+        decider by = decider::Alone;
+        udp_endpoint peer;
+    };
+    std::unordered_map<request_token, placed_request> m_placed;
+    std::unordered_map<request_token, std::shared_ptr<unconfirmed_report>> m_unconfirmed;
+    std::unordered_map<request_token, udp_endpoint> m_askers; ///< Who asked this instance.
+    std::map<udp_endpoint, instant> m_silentUntil;
+    std::map<service_name, local_service> m_local;
+};
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/placementmessages.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "clementinebeam/dispatch/dispatchtypes.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <variant>
+
+namespace clementinebeam {
+
+/// Asks the coordinator of a service for a place. Times are relative, as clocks differ.
+struct place_message {
+    service_name service;
+    request_token token = 0;
+    bool hasKey = false;
+    key_number key = 0;
+    std::int32_t priority = 0;
+    bool isRetry = false;
+    std::int64_t ageUs = 0;       ///< Since the request arrived.
+    std::int64_t objectiveUs = 0; ///< Until the latency objective.
+    std::int64_t deadlineUs = 0;  ///< Until the deadline.
+    std::string dataCentre;
+    target_id excluded;
+    std::uint64_t fingerprint = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service, token, hasKey, key, priority, isRetry, ageUs, objectiveUs, deadlineUs,
+                dataCentre, excluded, fingerprint);
+    }
+};
+
+/// The coordinator's answer. Neither target nor reason means that the request waits.
+struct placement_message {
+    service_name service;
+    request_token token = 0;
+    target_id target;
+    std::int32_t reason = 0;
+    std::int64_t retryAfterMs = 0;
+    std::int64_t waitedUs = 0;
+    std::uint32_t queueLength = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service, token, target, reason, retryAfterMs, waitedUs, queueLength);
+    }
+};
+
+/// Tells the coordinator that a request ended.
+struct ended_message {
+    service_name service;
+    request_token token = 0;
+    std::uint8_t result = 0;
+    std::int64_t durationUs = 0;
+    bool hasLoad = false;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service, token, result, durationUs, hasLoad, running, waiting, slots);
+    }
+};
+
+/// Confirms an ended_message.
+struct ended_ack_message {
+    request_token token = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(token);
+    }
+};
+
+using peer_message =
+        std::variant<place_message, placement_message, ended_message, ended_ack_message>;
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/storefeeds.cpp
@@ -0,0 +1,259 @@
+#include "internal/storefeeds.h"
+
+#include "clementinebeam/observability/logline.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long the store may wait for news. Probes of the connection notice one that went silent.
+constexpr milliseconds CONFIGURATION_WAIT{8000};
+constexpr milliseconds OWNERSHIP_WAIT{8000};
+/// A coordinator proves its right with each read, and has to see a successor soon.
+constexpr milliseconds COORDINATOR_WAIT{1000};
+/// Entries of targets change all the time, so they are read at intervals: below the drain time of
+/// 2 s, and faster where places are given out.
+constexpr milliseconds TARGETS_INTERVAL{900};
+constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{300};
+/// Changes that follow each other closely are read together.
+constexpr milliseconds MIN_PAUSE{60};
+constexpr milliseconds FIRST_BACKOFF{150};
+constexpr milliseconds MAX_BACKOFF{800};
+/// Failed reads in a row after which the store counts as away.
+constexpr std::uint32_t AWAY_FAILURES = 2;
+
+} // namespace
+
+const char *nameOf(store_stream stream)
+{
+    switch (stream) {
+    case store_stream::Configuration:
+        return "configuration";
+    case store_stream::Targets:
+        return "targets";
+    case store_stream::Coordination:
+        break;
+    }
+    return "ownership";
+}
+
+store_feeds::store_feeds(boost::asio::io_context &context, i_cluster_store &store,
+                         const i_message_format &format, target_directory &targets,
+                         i_feed_listener &listener, gateway_metrics &metrics)
+    : m_store(store)
+    , m_format(format)
+    , m_targets(targets)
+    , m_listener(listener)
+    , m_metrics(metrics)
+    , m_configuration(store_stream::Configuration, context)
+    , m_targetFeed(store_stream::Targets, context)
+    , m_ownership(store_stream::Coordination, context)
+{ }
+
+void store_feeds::start()
+{
+    for (auto *item : {&m_configuration, &m_targetFeed, &m_ownership})
+        read(*item);
+}
+
+void store_feeds::stop()
+{
+    m_isStopped = true;
+    for (auto *item : {&m_configuration, &m_targetFeed, &m_ownership})
+        item->timer.cancel();
+}
+
+bool store_feeds::isComplete() const
+{
+    return m_configuration.wasComplete && m_targetFeed.wasComplete && m_ownership.wasComplete;
+}
+
+bool store_feeds::isStoreReachable(instant) const
+{
+    return m_ownership.failures < AWAY_FAILURES && m_ownership.wasComplete;
+}
+
+const store_feeds::feed &store_feeds::feedOf(store_stream stream) const
+{
+    if (stream == store_stream::Configuration)
+        return m_configuration;
+    return stream == store_stream::Targets ? m_targetFeed : m_ownership;
+}
+
+milliseconds store_feeds::age(store_stream stream, instant now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - feedOf(stream).confirmedAt);
+}
+
+milliseconds store_feeds::waitOf(const feed &item) const
+{
+    if (item.stream == store_stream::Configuration)
+        return CONFIGURATION_WAIT;
+    if (item.stream == store_stream::Targets)
+        return milliseconds(0);
+    return m_listener.isCoordinating() ? COORDINATOR_WAIT : OWNERSHIP_WAIT;
+}
+
+milliseconds store_feeds::pauseOf(const feed &item) const
+{
+    if (item.stream != store_stream::Targets)
+        return item.stream == store_stream::Coordination ? milliseconds(0) : MIN_PAUSE;
+    return m_listener.isCoordinating() ? COORDINATOR_TARGETS_INTERVAL : TARGETS_INTERVAL;
+}
+
+milliseconds store_feeds::backoff(const feed &item) const
+{
+    const auto doublings = std::min<std::uint32_t>(item.failures, 4);
+    return std::min(FIRST_BACKOFF * (1U << doublings) / 2, MAX_BACKOFF);
+}
+
+void store_feeds::schedule(feed &item, milliseconds delay)
+{
+    if (m_isStopped)
+        return;
+    item.timer.expires_after(delay);
+    item.timer.async_wait([this, &item](boost::system::error_code error) {
+        if (!error && !m_isStopped)
+            read(item);
+    });
+}
+
+void store_feeds::read(feed &item)
+{
+    const auto askedAt = boot_clock::now();
+    if (!item.isPositioned) {
+        m_store.readNewest(item.stream, [this, &item, askedAt](store_batch batch) {
+            onBatch(item, std::move(batch), askedAt, true);
+        });
+        return;
+    }
+    m_store.readFrom(item.stream, item.next, waitOf(item),
+                     [this, &item, askedAt](store_batch batch) {
+                         onBatch(item, std::move(batch), askedAt, false);
+                     });
+}
+
+void store_feeds::noteReachable(feed &item, store_failure failure)
+{
+    const bool isReachable = failure == store_failure::None || failure == store_failure::Forgotten;
+    item.failures = isReachable ? 0 : item.failures + 1;
+    const bool shows =
+            isReachable != item.isReachable && (isReachable || item.failures >= AWAY_FAILURES);
+    if (!shows)
+        return;
+    item.isReachable = isReachable;
+    log_line(isReachable ? log_level::Info : log_level::Warning,
+             isReachable ? "store_regained" : "store_lost")
+            .add("stream", nameOf(item.stream))
+            .add("error", nameOf(failure))
+            .add("offset", item.next);
+}
+
+void store_feeds::onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole)
+{
+    if (m_isStopped)
+        return;
+    const auto now = boot_clock::now();
+    m_metrics.countStoreCall(isWhole ? "read_newest" : "read", nameOf(batch.failure));
+    noteReachable(item, batch.failure);
+    if (item.stream == store_stream::Targets)
+        m_targets.setStoreReachable(item.failures == 0, now);
+    if (batch.failure == store_failure::Forgotten) {
+        log_line(log_level::Warning, "stream_forgotten")
+                .add("stream", nameOf(item.stream))
+                .add("offset", item.next);
+        item.isPositioned = false;
+        schedule(item, MIN_PAUSE);
+        return;
+    }
+    if (batch.failure != store_failure::None) {
+        schedule(item, backoff(item));
+        return;
+    }
+    item.next = batch.next;
+    item.isPositioned = true;
+    item.confirmedAt = askedAt;
+    apply(item, batch, askedAt, isWhole);
+    item.wasComplete = true;
+    schedule(item, pauseOf(item));
+}
+
+void store_feeds::apply(feed &item, const store_batch &batch, instant askedAt, bool isWhole)
+{
+    switch (item.stream) {
+    case store_stream::Configuration:
+        applyConfiguration(batch);
+        break;
+    case store_stream::Targets:
+        applyTargets(batch, boot_clock::now(), isWhole);
+        break;
+    case store_stream::Coordination:
+        applyOwnership(batch, askedAt);
+        break;
+    }
+}
+
+void store_feeds::applyConfiguration(const store_batch &batch)
+{
+    // Each record holds the configuration in full, so only the newest one counts.
+    const auto newest = std::find_if(batch.records.rbegin(), batch.records.rend(),
+                                     [](const store_record &record) { return !record.isRemoved; });
+    if (newest == batch.records.rend())
+        return;
+    auto configuration = m_format.readConfiguration(newest->value);
+    if (!configuration) {
+        log_line(log_level::Error, "configuration_unreadable")
+                .add("bytes", newest->value.size())
+                .add("error", configuration.error().message());
+        return;
+    }
+    m_listener.onConfiguration(std::move(configuration.value()));
+}
+
+void store_feeds::applyTargets(const store_batch &batch, instant now, bool isWhole)
+{
+    std::map<std::string, const store_record *> newest;
+    for (const auto &record : batch.records)
+        newest[record.key] = &record;
+    const auto before = m_targets.revision();
+    std::vector<target_entry> entries;
+    for (const auto &[id, record] : newest) {
+        if (record->isRemoved) {
+            m_targets.remove(id, now);
+            continue;
+        }
+        auto entry = m_format.readTarget(id, record->value);
+        if (!entry) {
+            log_line(log_level::Warning, "target_entry_unreadable").add("target", id);
+            continue;
+        }
+        if (isWhole)
+            entries.push_back(std::move(entry.value()));
+        else
+            m_targets.update(entry.value(), now);
+    }
+    if (isWhole)
+        m_targets.replaceAll(entries, now);
+    m_targets.advance(now);
+    if (m_targets.revision() != before || isWhole)
+        m_listener.onTargetsChanged();
+}
+
+void store_feeds::applyOwnership(const store_batch &batch, instant askedAt)
+{
+    std::vector<ownership_record> records;
+    for (const auto &record : batch.records) {
+        auto decoded = decodeBinary<ownership_record>(record.value);
+        if (decoded)
+            records.push_back(std::move(decoded.value()));
+        else
+            log_line(log_level::Error, "ownership_record_unreadable").add("service", record.key);
+    }
+    m_listener.onOwnership(records, batch.next, askedAt);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/storefeeds.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "clementinebeam/gateway/iclusterstore.h"
+#include "clementinebeam/gateway/imessageformat.h"
+#include "clementinebeam/gateway/targetdirectory.h"
+#include "internal/gatewaymetrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace clementinebeam {
+
+/// Takes what the store's streams bring.
+class i_feed_listener
+{
+public:
+    virtual ~i_feed_listener() = default;
+
+    virtual void onConfiguration(routing_configuration configuration) = 0;
+    virtual void onTargetsChanged() = 0;
+
+    /// Takes ownership records, newest last.
+    /// @param records the records.
+    /// @param end offset after the last of them.
+    /// @param askedAt when the read was sent; the records were the newest at some later moment.
+    virtual void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
+                             instant askedAt) = 0;
+
+    /// @return whether this instance coordinates a service and needs news quickly.
+    virtual bool isCoordinating() const = 0;
+};
+
+/// Follows the store's streams: configuration, targets and ownership.
+class store_feeds
+{
+public:
+    store_feeds(boost::asio::io_context &context, i_cluster_store &store,
+                const i_message_format &format, target_directory &targets,
+                i_feed_listener &listener, gateway_metrics &metrics);
+
+    void start();
+    void stop();
+
+    /// @return whether all streams were read at least once.
+    bool isComplete() const;
+
+    /// @return whether the ownership stream could be read lately.
+    bool isStoreReachable(instant now) const;
+
+    /// @return the time since a stream was last confirmed to be up to date.
+    std::chrono::milliseconds age(store_stream stream, instant now) const;
+
+private:
+    /// Reading position in one stream.
+    struct feed {
+        feed(store_stream which, boost::asio::io_context &context)
+            : stream(which)
+            , timer(context)
+        { }
+
+        store_stream stream;
+        boost::asio::steady_timer timer;
+        std::uint64_t next = 0;
+        bool isPositioned = false; ///< next is known; else the newest records are read first.
+        bool isReachable = false;
+        bool wasComplete = false;
+        std::uint32_t failures = 0;
+        instant confirmedAt{};
+    };
+
+    void read(feed &item);
+    void onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole);
+    void apply(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
+    void applyConfiguration(const store_batch &batch);
+    void applyTargets(const store_batch &batch, instant now, bool isWhole);
+    void applyOwnership(const store_batch &batch, instant askedAt);
+    void schedule(feed &item, std::chrono::milliseconds delay);
+    std::chrono::milliseconds waitOf(const feed &item) const;
+    std::chrono::milliseconds pauseOf(const feed &item) const;
+    std::chrono::milliseconds backoff(const feed &item) const;
+    void noteReachable(feed &item, store_failure failure);
+    const feed &feedOf(store_stream stream) const;
+
+    i_cluster_store &m_store;
+    const i_message_format &m_format;
+    target_directory &m_targets;
+    i_feed_listener &m_listener;
+    gateway_metrics &m_metrics;
+    feed m_configuration;
+    feed m_targetFeed;
+    feed m_ownership;
+    bool m_isStopped = false;
+};
+
+/// @param stream a stream.
+/// @return its name for logs and metrics.
+const char *nameOf(store_stream stream);
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/targetpool.cpp
@@ -0,0 +1,93 @@
+#include "internal/targetpool.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Connecting within a region takes some milliseconds; a lost packet is sent again after a second.
+constexpr milliseconds CONNECT_TIMEOUT{400};
+/// Idle time of a connection whose target names none; below the usual 10 s of targets.
+constexpr milliseconds DEFAULT_IDLE{7000};
+/// The connection is left alone this long before its target closes it.
+constexpr milliseconds IDLE_MARGIN{1500};
+/// Idle connections to one target; an instance has few requests at one target at a time.
+constexpr std::size_t MAX_IDLE = 4;
+
+} // namespace
+
+tcp_endpoint endpointOf(const network_address &address)
+{
+    return {boost::asio::ip::make_address_v4(address.host), address.port};
+}
+
+target_pool::target_pool(boost::asio::io_context &context)
+    : m_context(context)
+{ }
+
+std::shared_ptr<client_connection> target_pool::take(const target_entry &target)
+{
+    const auto now = boot_clock::now();
+    const auto found = m_idle.find(target.id);
+    if (found != m_idle.end()) {
+        auto &idle = found->second;
+        while (!idle.empty()) {
+            const auto item = std::move(idle.back());
+            idle.pop_back();
+            if (item.connection->isReusable() && item.address == target.address
+                && now < item.usableUntil)
+                return item.connection;
+            item.connection->close();
+        }
+    }
+    return makeFresh(target);
+}
+
+std::shared_ptr<client_connection> target_pool::makeFresh(const target_entry &target)
+{
+    return std::make_shared<client_connection>(m_context, endpointOf(target.address),
+                                               CONNECT_TIMEOUT);
+}
+
+void target_pool::giveBack(const target_entry &target,
+                           const std::shared_ptr<client_connection> &connection,
+                           std::optional<std::chrono::seconds> idleTimeout)
+{
+    if (!connection->isReusable())
+        return;
+    const auto life = idleTimeout ? milliseconds(*idleTimeout) - IDLE_MARGIN : DEFAULT_IDLE;
+    auto &idle = m_idle[target.id];
+    if (idle.size() >= MAX_IDLE || life <= milliseconds(0)) {
+        connection->close();
+        return;
+    }
+    idle.push_back({connection, target.address, boot_clock::now() + life});
+}
+
+void target_pool::closeIdle(instant now)
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second, [&](const idle_connection &item) {
+            if (item.connection->isReusable() && now < item.usableUntil)
+                return false;
+            item.connection->close();
+            return true;
+        });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+void target_pool::forget(const target_id &target)
+{
+    const auto found = m_idle.find(target);
+    if (found == m_idle.end())
+        return;
+    for (const auto &item : found->second)
+        item.connection->close();
+    m_idle.erase(found);
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/targetpool.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "clementinebeam/asynchttp/clientconnection.h"
+#include "clementinebeam/gateway/gatewaytypes.h"
+
+#include <map>
+
+namespace clementinebeam {
+
+/// Keeps idle connections to targets for further requests.
+class target_pool
+{
+public:
+    explicit target_pool(boost::asio::io_context &context);
+
+    /// @param target where to connect.
+    /// @return an idle connection, or a new one.
+    std::shared_ptr<client_connection> take(const target_entry &target);
+
+    /// @return a connection that was never used; for calls that must not meet a silent one.
+    std::shared_ptr<client_connection> makeFresh(const target_entry &target);
+
+    /// Keeps a connection for later, if it can be used again.
+    /// @param idleTimeout how long the target keeps it, if it said so.
+    void giveBack(const target_entry &target, const std::shared_ptr<client_connection> &connection,
+                  std::optional<std::chrono::seconds> idleTimeout);
+
+    /// Closes connections that were idle for long; to be called every second or so.
+    void closeIdle(instant now);
+
+    /// Closes connections to an address that no longer belongs to the target.
+    void forget(const target_id &target);
+
+private:
+    struct idle_connection {
+        std::shared_ptr<client_connection> connection;
+        network_address address;
+        instant usableUntil;
+    };
+
+    boost::asio::io_context &m_context;
+    std::map<target_id, std::vector<idle_connection>> m_idle; ///< Latest used last.
+};
+
+/// @param address an address of the settings or of an entry, already checked.
+tcp_endpoint endpointOf(const network_address &address);
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -0,0 +1,419 @@
+#include "clementinebeam/keyspace/keycoordinator.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Failed grants in a row after which the target is taken as unreachable.
+constexpr std::uint32_t UNREACHABLE_FAILURES = 2;
+/// A grant shorter than this would run out before its renewal.
+constexpr milliseconds MIN_HOLD{300};
+
+} // namespace
+
+key_coordinator::key_coordinator(const coordinator_settings &settings, ownership_record record,
+                                 instant claimedAt, instant now)
+    : m_settings(settings)
+    , m_record(std::move(record))
+    , m_rightSeenAt(claimedAt)
+{
+    m_earlierHolds = holdEnd(now, m_settings.rightDuration);
+    for (const auto &assignment : m_record.ranges) {
+        owned_range range;
+        range.assignment = assignment;
+        range.isStored = true;
+        if (!assignment.target.empty()) {
+            range.state = phase::Assigned;
+            range.heldUntil = m_earlierHolds;
+        }
+        m_ranges.push_back(std::move(range));
+    }
+    if (m_ranges.empty())
+        m_ranges.emplace_back();
+    m_record.ranges.clear();
+}
+
+instant key_coordinator::holdEnd(instant sent, milliseconds hold) const
+{
+    const auto drift = std::chrono::duration_cast<milliseconds>(hold * m_settings.clockDrift);
+    return sent + hold + drift + m_settings.clockMargin;
+}
+
+const key_holder *key_coordinator::holder(const target_id &id) const
+{
+    const auto found = m_holders.find(id);
+    return found == m_holders.end() ? nullptr : &found->second;
+}
+
+void key_coordinator::setHolders(const std::vector<key_holder> &holders)
+{
+    m_holders.clear();
+    for (const auto &item : holders)
+        m_holders.emplace(item.id, item);
+}
+
+milliseconds key_coordinator::holdTime(instant now) const
+{
+    const auto wanted = m_isStoreReachable ? m_settings.hold : m_settings.longHold;
+    const auto left = std::chrono::duration_cast<milliseconds>(m_rightSeenAt
+                                                               + m_settings.rightDuration - now);
+    return std::min(wanted, left);
+}
+
+void key_coordinator::onGrantResult(const grant_order &order, order_result result, instant now)
+{
+    for (auto &range : m_ranges) {
+        const auto &own = range.assignment;
+        if (own.target != order.target || own.fence != order.fence
+            || !order.keys.overlaps(own.keys))
+            continue;
+        range.isCalling = false;
+        switch (result) {
+        case order_result::Accepted:
+            if (!range.isAccepted)
+                ++m_revision;
+            range.isAccepted = true;
+            range.isFenced = true;
+            range.failures = 0;
+            range.handover.clear();
+            range.destination.clear();
+            range.heldUntil = std::max(range.unansweredUntil, holdEnd(now, order.hold));
+            break;
+        case order_result::Superseded:
+            // If another coordinator is active, storing the new token fails and ends this one.
+            range.assignment.fence = m_record.nextFence++;
+            range.isStored = false;
+            range.isAccepted = false;
+            range.nextCall = now + m_settings.retryInterval;
+            m_isDirty = true;
+            ++m_revision;
+            break;
+        case order_result::NotSent:
+            range.heldUntil = range.heldBeforeCall;
+            range.nextCall = now + m_settings.retryInterval;
+            ++range.failures;
+            break;
+        case order_result::Unanswered:
+            ++range.failures;
+            range.unansweredUntil = std::max(range.unansweredUntil, holdEnd(now, order.hold));
+            range.heldUntil = std::max(range.heldUntil, range.unansweredUntil);
+            range.nextCall = now + m_settings.retryInterval;
+            break;
+        }
+    }
+}
+
+void key_coordinator::onReleaseResult(const release_order &order, order_result result,
+                                      const std::string &handover, instant now)
+{
+    for (auto &range : m_ranges) {
+        const auto &own = range.assignment;
+        if (range.state != phase::Releasing || own.target != order.target
+            || own.fence != order.fence || !order.keys.overlaps(own.keys))
+            continue;
+        range.isCalling = false;
+        if (result != order_result::Accepted) {
+            range.nextCall = now + m_settings.retryInterval;
+            continue;
+        }
+        range.handover = handover;
+        range.state = phase::Expiring;
+        range.heldUntil = range.unansweredUntil;
+    }
+}
+
+void key_coordinator::onStored(fence_number nextFence)
+{
+    m_isStoring = false;
+    for (auto &range : m_ranges) {
+        if (range.assignment.fence < nextFence)
+            range.isStored = true;
+    }
+}
+
+coordinator_actions key_coordinator::advance(instant now)
+{
+    coordinator_actions actions;
+    if (isExpired(now))
+        return actions;
+    reassignRestarted();
+    releaseLeaving(now);
+    expire(now);
+    if (now >= m_nextPlan) {
+        m_nextPlan = now + m_settings.planInterval;
+        m_load.decay(now);
+        plan();
+    }
+    placeUnowned(now);
+    mergeNeighbours();
+    issueReleases(now, actions);
+    issueGrants(now, actions);
+    if (m_isDirty && !m_isStoring && m_isStoreReachable) {
+        m_isDirty = false;
+        m_isStoring = true;
+        actions.wantsStore = true;
+    }
+    return actions;
+}
+
+void key_coordinator::reassignRestarted()
+{
+    for (auto &range : m_ranges) {
+        if (range.state != phase::Assigned)
+            continue;
+        const auto *target = holder(range.assignment.target);
+        if (!target || target->incarnation == range.assignment.incarnation)
+            continue;
+        // The new process knows no token. It gets a higher one, and holds of the old one count on.
+        const auto heldUntil = range.heldUntil;
+        const auto unansweredUntil = range.unansweredUntil;
+        assign(range, *target);
+        range.heldUntil = heldUntil;
+        range.heldBeforeCall = heldUntil;
+        range.unansweredUntil = unansweredUntil;
+        ++m_revision;
+    }
+}
+
+void key_coordinator::releaseLeaving(instant now)
+{
+    for (auto &range : m_ranges) {
+        if (range.state != phase::Assigned)
+            continue;
+        const auto *target = holder(range.assignment.target);
+        if (target && !target->isLeaving)
+            continue;
+        // A grant of ours comes first, else an earlier coordinator might renew after the release.
+        if (!range.isFenced && now < m_earlierHolds && range.failures == 0)
+            continue;
+        range.state = phase::Releasing;
+        range.destination.clear();
+        range.nextCall = instant{};
+        ++m_revision;
+    }
+}
+
+void key_coordinator::expire(instant now)
+{
+    for (auto &range : m_ranges) {
+        const bool isReturned = range.state == phase::Releasing || range.state == phase::Expiring;
+        const bool isSilent =
+                range.state == phase::Assigned && range.failures >= UNREACHABLE_FAILURES;
+        if (!(isReturned || isSilent) || now < range.heldUntil || range.isCalling)
+            continue;
+        if (isSilent) {
+            m_avoidUntil[range.assignment.target] = now + m_settings.avoidance;
+            range.destination.clear();
+        }
+        range.state = phase::Unowned;
+        range.isAccepted = false;
+        ++m_revision;
+        // The fence stays, so that the next one is higher.
+        range.assignment.target.clear();
+        range.assignment.incarnation = 0;
+    }
+}
+
+void key_coordinator::splitAt(key_number first)
+{
+    for (std::size_t index = 0; index < m_ranges.size(); ++index) {
+        auto &range = m_ranges[index];
+        if (!range.assignment.keys.contains(first) || range.assignment.keys.first == first)
+            continue;
+        auto right = range;
+        right.assignment.keys.first = first;
+        range.assignment.keys.last = first - 1;
+        m_ranges.insert(m_ranges.begin() + static_cast<std::ptrdiff_t>(index) + 1,
+                        std::move(right));
+        return;
+    }
+}
+
+void key_coordinator::markReleasing(const range_move &move)
+{
+    splitAt(move.keys.first);
+    if (move.keys.last < LAST_KEY)
+        splitAt(move.keys.last + 1);
+    for (auto &range : m_ranges) {
+        if (!move.keys.overlaps(range.assignment.keys) || range.state != phase::Assigned)
+            continue;
+        range.state = phase::Releasing;
+        range.destination = move.to;
+        range.nextCall = instant{};
+        ++m_revision;
+        ++m_moveCount;
+    }
+}
+
+void key_coordinator::plan()
+{
+    const bool isMoving = std::any_of(m_ranges.begin(), m_ranges.end(),
+                                      [](const auto &range) { return !range.destination.empty(); });
+    // Loads of ranges in transit would be counted wrongly, so one round of moves ends first.
+    if (isMoving || !m_isStoreReachable)
+        return;
+    std::vector<key_holder> holders;
+    for (const auto &[id, item] : m_holders)
+        holders.push_back(item);
+    for (const auto &move : m_planner.rebalance(holders, settledAssignments(), m_load))
+        markReleasing(move);
+}
+
+void key_coordinator::assign(owned_range &range, const key_holder &target)
+{
+    range.state = phase::Assigned;
+    range.assignment.target = target.id;
+    range.assignment.incarnation = target.incarnation;
+    range.assignment.fence = m_record.nextFence++;
+    range.isStored = false;
+    range.isAccepted = false;
+    range.isFenced = false;
+    range.isCalling = false;
+    range.failures = 0;
+    range.heldUntil = instant{};
+    range.heldBeforeCall = instant{};
+    range.unansweredUntil = instant{};
+    range.nextCall = instant{};
+    m_isDirty = true;
+}
+
+bool key_coordinator::isAvailable(const key_holder &target, instant now) const
+{
+    const auto avoided = m_avoidUntil.find(target.id);
+    return !target.isLeaving && (avoided == m_avoidUntil.end() || now >= avoided->second);
+}
+
+void key_coordinator::placeUnowned(instant now)
+{
+    if (!m_isStoreReachable)
+        return;
+    bool hasUnowned = false;
+    for (auto &range : m_ranges) {
+        if (range.state != phase::Unowned)
+            continue;
+        const auto *target = holder(range.destination);
+        if (target && isAvailable(*target, now)) {
+            assign(range, *target);
+            continue;
+        }
+        range.destination.clear();
+        hasUnowned = true;
+    }
+    if (!hasUnowned)
+        return;
+    std::vector<key_holder> holders;
+    for (const auto &[id, item] : m_holders) {
+        if (isAvailable(item, now))
+            holders.push_back(item);
+    }
+    for (const auto &move : m_planner.placeUnowned(holders, assignments(), m_load)) {
+        splitAt(move.keys.first);
+        if (move.keys.last < LAST_KEY)
+            splitAt(move.keys.last + 1);
+        for (auto &range : m_ranges) {
+            if (range.state == phase::Unowned && move.keys.overlaps(range.assignment.keys))
+                assign(range, *holder(move.to));
+        }
+    }
+}
+
+bool key_coordinator::isMergeable(const owned_range &left, const owned_range &right)
+{
+    return left.state == phase::Assigned && right.state == phase::Assigned
+            && left.assignment.target == right.assignment.target
+            && left.assignment.fence == right.assignment.fence
+            && left.isAccepted == right.isAccepted && left.isFenced == right.isFenced
+            && left.isStored == right.isStored && !left.isCalling && !right.isCalling
+            && left.handover == right.handover && left.destination == right.destination;
+}
+
+void key_coordinator::mergeNeighbours()
+{
+    range_list merged;
+    merged.reserve(m_ranges.size());
+    for (auto &range : m_ranges) {
+        if (merged.empty() || !isMergeable(merged.back(), range)) {
+            merged.push_back(std::move(range));
+            continue;
+        }
+        auto &last = merged.back();
+        last.assignment.keys.last = range.assignment.keys.last;
+        last.heldUntil = std::max(last.heldUntil, range.heldUntil);
+        last.heldBeforeCall = std::max(last.heldBeforeCall, range.heldBeforeCall);
+        last.unansweredUntil = std::max(last.unansweredUntil, range.unansweredUntil);
+        last.nextCall = std::min(last.nextCall, range.nextCall);
+        last.failures = std::max(last.failures, range.failures);
+    }
+    m_ranges = std::move(merged);
+}
+
+void key_coordinator::issueReleases(instant now, coordinator_actions &actions)
+{
+    for (auto &range : m_ranges) {
+        if (range.state != phase::Releasing || range.isCalling || now < range.nextCall)
+            continue;
+        range.isCalling = true;
+        actions.releases.push_back(
+                {range.assignment.target, range.assignment.keys, range.assignment.fence});
+    }
+}
+
+void key_coordinator::issueGrants(instant now, coordinator_actions &actions)
+{
+    const auto hold = holdTime(now);
+    if (hold < MIN_HOLD)
+        return;
+    for (auto &range : m_ranges) {
+        const bool isDue = range.state == phase::Assigned && range.isStored && !range.isCalling
+                && now >= range.nextCall;
+        if (!isDue)
+            continue;
+        range.isCalling = true;
+        range.nextCall = now + m_settings.renewInterval;
+        range.heldBeforeCall = range.heldUntil;
+        range.heldUntil = std::max(range.heldUntil, holdEnd(now, hold));
+        actions.grants.push_back({range.assignment.target, range.assignment.keys,
+                                  range.assignment.fence, hold, range.handover});
+    }
+}
+
+std::vector<range_assignment> key_coordinator::assignments() const
+{
+    std::vector<range_assignment> result;
+    for (const auto &range : m_ranges)
+        result.push_back(range.assignment);
+    return result;
+}
+
+std::vector<range_assignment> key_coordinator::settledAssignments() const
+{
+    std::vector<range_assignment> result;
+    for (const auto &range : m_ranges) {
+        if (range.state == phase::Assigned && range.isAccepted)
+            result.push_back(range.assignment);
+    }
+    return result;
+}
+
+ownership_record key_coordinator::record() const
+{
+    auto record = m_record;
+    record.ranges = assignments();
+    return record;
+}
+
+std::vector<range_assignment> key_coordinator::served(instant now) const
+{
+    std::vector<range_assignment> result;
+    for (const auto &range : m_ranges) {
+        if (range.state == phase::Assigned && range.isAccepted && now < range.heldUntil)
+            result.push_back(range.assignment);
+    }
+    return result;
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -0,0 +1,272 @@
+#include "clementinebeam/keyspace/rangeplanner.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace clementinebeam {
+
+namespace {
+
+/// Load of a key while nothing is known; makes ranges without requests spread evenly.
+constexpr double BASE_LOAD = 1.0 / KEY_COUNT;
+/// Utilisation above which a target gives keys away at once.
+constexpr double HIGH_UTILISATION = 0.80;
+/// Ratio to the mean utilisation above which a target gives keys away.
+constexpr double UNEVEN_RATIO = 1.35;
+/// Utilisation below which unevenness does no harm.
+constexpr double HARMLESS_UTILISATION = 0.35;
+/// A hot spell has to stand out of the steady load by this factor and this many requests a second.
+constexpr double HOT_RATIO = 1.3;
+constexpr double HOT_EXCESS = 5.0;
+/// A move has to lower the load of the fuller of both targets to this share at least.
+constexpr double USEFUL_SHARE = 0.95;
+
+/// Load of one target while moves are planned.
+struct holder_load {
+    const key_holder *holder = nullptr;
+    double recent = 0.0;
+    double steady = 0.0;
+    std::size_t keys = 0;
+
+    bool isHot() const { return recent > steady * HOT_RATIO + HOT_EXCESS; }
+    double load() const { return isHot() ? recent : steady; }
+    double utilisation() const { return load() / std::max(0.001, holder->capacity); }
+};
+
+using load_table = std::map<target_id, holder_load>;
+
+double keyLoad(const key_load &load, key_number key, bool isHot)
+{
+    return BASE_LOAD + (isHot ? load.recent(key) : load.steady(key));
+}
+
+load_table tableOf(const std::vector<key_holder> &holders,
+                   const std::vector<range_assignment> &ranges, const key_load &load)
+{
+    load_table table;
+    for (const auto &holder : holders) {
+        if (!holder.isLeaving)
+            table[holder.id].holder = &holder;
+    }
+    for (const auto &range : ranges) {
+        const auto found = table.find(range.target);
+        if (found == table.end())
+            continue;
+        auto &item = found->second;
+        item.keys += range.keys.size();
+        for (key_number key = range.keys.first; key <= range.keys.last; ++key) {
+            item.recent += keyLoad(load, key, true);
+            item.steady += keyLoad(load, key, false);
+        }
+    }
+    return table;
+}
+
+holder_load *leastLoaded(load_table &table)
+{
+    holder_load *best = nullptr;
+    for (auto &[id, item] : table) {
+        if (!best || item.utilisation() < best->utilisation())
+            best = &item;
+    }
+    return best;
+}
+
+holder_load *mostLoaded(load_table &table)
+{
+    holder_load *best = nullptr;
+    for (auto &[id, item] : table) {
+        if (!best || item.utilisation() > best->utilisation())
+            best = &item;
+    }
+    return best;
+}
+
+double meanUtilisation(const load_table &table)
+{
+    double load = 0.0;
+    double capacity = 0.0;
+    for (const auto &[id, item] : table) {
+        load += item.load();
+        capacity += item.holder->capacity;
+    }
+    return capacity > 0.0 ? load / capacity : 0.0;
+}
+
+struct window {
+    key_range keys;
+    double recent = 0.0;
+    double steady = 0.0;
+};
+
+window measured(const key_range &keys, const key_load &load)
+{
+    window result{keys, 0.0, 0.0};
+    for (key_number key = keys.first; key <= keys.last; ++key) {
+        result.recent += keyLoad(load, key, true);
+        result.steady += keyLoad(load, key, false);
+    }
+    return result;
+}
+
+/// Narrowest window of a range that carries at least a certain load.
+std::optional<key_range> narrowestWindow(const key_range &range, const key_load &load, bool isHot,
+                                         double amount)
+{
+    std::optional<key_range> best;
+    double sum = 0.0;
+    key_number start = range.first;
+    for (key_number end = range.first; end <= range.last; ++end) {
+        sum += keyLoad(load, end, isHot);
+        while (start < end && sum - keyLoad(load, start, isHot) >= amount) {
+            sum -= keyLoad(load, start, isHot);
+            ++start;
+        }
+        if (sum >= amount && (!best || end - start + 1 < best->size()))
+            best = key_range{start, end};
+    }
+    return best;
+}
+
+std::optional<window> bestWindow(const target_id &owner, bool isHot, double amount,
+                                 const std::vector<range_assignment> &ranges, const key_load &load)
+{
+    std::optional<key_range> best;
+    for (const auto &range : ranges) {
+        if (range.target != owner)
+            continue;
+        const auto found = narrowestWindow(range.keys, load, isHot, amount);
+        if (found && (!best || found->size() < best->size()))
+            best = found;
+    }
+    if (!best)
+        return std::nullopt;
+    return measured(*best, load);
+}
+
+void shift(holder_load &from, holder_load &to, const window &item)
+{
+    from.recent -= item.recent;
+    from.steady -= item.steady;
+    from.keys -= item.keys.size();
+    to.recent += item.recent;
+    to.steady += item.steady;
+    to.keys += item.keys.size();
+}
+
+/// Gives the keys of a window to another target in a list of assignments.
+void reassign(std::vector<range_assignment> &ranges, const key_range &keys, const target_id &target)
+{
+    std::vector<range_assignment> result;
+    for (const auto &range : ranges) {
+        if (!range.keys.overlaps(keys)) {
+            result.push_back(range);
+            continue;
+        }
+        if (range.keys.first < keys.first) {
+            result.push_back(range);
+            result.back().keys.last = keys.first - 1;
+        }
+        if (range.keys.contains(keys.first)) {
+            result.push_back(range);
+            result.back().keys = keys;
+            result.back().target = target;
+        }
+        if (range.keys.last > keys.last) {
+            result.push_back(range);
+            result.back().keys.first = keys.last + 1;
+        }
+    }
+    ranges = std::move(result);
+}
+
+bool isUneven(const holder_load &full, double mean)
+{
+    const double utilisation = full.utilisation();
+    if (utilisation > HIGH_UTILISATION && utilisation > mean * 1.1)
+        return true;
+    return utilisation > HARMLESS_UTILISATION && utilisation > mean * UNEVEN_RATIO;
+}
+
+/// Plans one move from the fullest to the emptiest target.
+std::optional<range_move> planMove(load_table &table, std::vector<range_assignment> &ranges,
+                                   const key_load &load)
+{
+    auto *full = mostLoaded(table);
+    auto *empty = leastLoaded(table);
+    if (!full || full == empty)
+        return std::nullopt;
+    const double mean = meanUtilisation(table);
+    const bool hasNewcomer = empty->keys == 0;
+    if (!isUneven(*full, mean) && !hasNewcomer)
+        return std::nullopt;
+    const double excess = full->load() - mean * full->holder->capacity;
+    const double headroom = mean * empty->holder->capacity - empty->load();
+    const double amount =
+            std::min(hasNewcomer ? std::max(excess, full->load() / 2) : excess, headroom);
+    if (amount <= 0.0)
+        return std::nullopt;
+    const auto found = bestWindow(full->holder->id, full->isHot(), amount, ranges, load);
+    if (!found)
+        return std::nullopt;
+    const double before = full->utilisation();
+    auto newFull = *full;
+    auto newEmpty = *empty;
+    shift(newFull, newEmpty, *found);
+    if (std::max(newFull.utilisation(), newEmpty.utilisation()) > before * USEFUL_SHARE)
+        return std::nullopt;
+    shift(*full, *empty, *found);
+    const range_move move{found->keys, full->holder->id, empty->holder->id};
+    reassign(ranges, move.keys, move.to);
+    return move;
+}
+
+} // namespace
+
+std::vector<range_move> range_planner::rebalance(const std::vector<key_holder> &holders,
+                                                 const std::vector<range_assignment> &ranges,
+                                                 const key_load &load) const
+{
+    auto table = tableOf(holders, ranges, load);
+    auto planned = ranges;
+    std::vector<range_move> moves;
+    while (moves.size() < MAX_MOVES) {
+        const auto move = planMove(table, planned, load);
+        if (!move)
+            break;
+        moves.push_back(*move);
+    }
+    return moves;
+}
+
+std::vector<range_move> range_planner::placeUnowned(const std::vector<key_holder> &holders,
+                                                    const std::vector<range_assignment> &ranges,
+                                                    const key_load &load) const
+{
+    auto table = tableOf(holders, ranges, load);
+    std::vector<range_move> moves;
+    if (table.empty())
+        return moves;
+    const auto widest = (KEY_COUNT + table.size() - 1) / table.size();
+    for (const auto &range : ranges) {
+        if (!range.target.empty())
+            continue;
+        const auto pieces = (range.keys.size() + widest - 1) / widest;
+        for (std::size_t piece = 0; piece < pieces; ++piece) {
+            const auto size = range.keys.size();
+            const key_range keys{
+                    static_cast<key_number>(range.keys.first + size * piece / pieces),
+                    static_cast<key_number>(range.keys.first + size * (piece + 1) / pieces - 1)};
+            auto *target = leastLoaded(table);
+            const auto item = measured(keys, load);
+            target->recent += item.recent;
+            target->steady += item.steady;
+            target->keys += keys.size();
+            moves.push_back({keys, {}, target->holder->id});
+        }
+    }
+    return moves;
+}
+
+} // namespace clementinebeam
--- a/src/platform/internal/httpinstancelist.h
+++ b/src/nativelog/internal/httpinstancelist.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clementinebeam/http/httpchannel.h"
-#include "clementinebeam/platform/iinstancelist.h"
+#include "clementinebeam/nativelog/iinstancelist.h"
 
 namespace clementinebeam {
 
--- a/src/platform/internal/httplogclient.h
+++ b/src/nativelog/internal/httplogclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clementinebeam/http/httpchannel.h"
-#include "clementinebeam/platform/ilogclient.h"
+#include "clementinebeam/nativelog/ilogclient.h"
 
 namespace clementinebeam {
 
--- a/src/platform/platformmodule.cpp
+++ b/src/nativelog/nativelogmodule.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 /// Offers the platform's log service and instance list.
-class platform_module : public i_module
+class native_log_module : public i_module
 {
 public:
-    std::string_view name() const override { return "platform"; }
+    std::string_view name() const override { return "nativelog"; }
     int level() const override { return 20; }
 
     std::error_code registerServices(service_registry &services) override
@@ -27,7 +27,7 @@
     std::error_code start(service_registry &) override { return {}; }
 };
 
-const module_registration<platform_module> REGISTRATION;
+const module_registration<native_log_module> REGISTRATION;
 
 } // namespace
 
--- a/src/routing/internal/requestrouter.h
+++ b/src/routing/internal/requestrouter.h
@@ -2,13 +2,13 @@
 
 #include "clementinebeam/controlplane/icontrolplane.h"
 #include "clementinebeam/controlplane/routingview.h"
+#include "clementinebeam/dispatch/retrybudget.h"
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/observability/imetrics.h"
 #include "clementinebeam/routing/iquarantine.h"
 #include "clementinebeam/targets/itargetclient.h"
 #include "internal/callerrequest.h"
 #include "internal/ledgerclient.h"
-#include "internal/retrybudget.h"
 #include "internal/targetqueue.h"
 
 #include <map>
--- a/src/standins/platform/platformlog.h
+++ b/src/standins/platform/platformlog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clementinebeam/kernel/bootclock.h"
-#include "clementinebeam/platform/platformtypes.h"
+#include "clementinebeam/nativelog/nativelogtypes.h"
 
 #include <deque>
 #include <map>
--- a/tests/unit/routingtest.cpp
+++ b/tests/unit/routingtest.cpp
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE routing
+#include "clementinebeam/dispatch/retrybudget.h"
 #include "internal/callerrequest.h"
 #include "internal/concurrencylimit.h"
 #include "internal/quarantine.h"
-#include "internal/retrybudget.h"
 #include "internal/targetqueue.h"
 
 #include <algorithm>
