Read hung store streams again; stop sending to leaving owners in time

The time limit is now part of the target and is checked at each choice and at each send. Ruled out: the size of the configuration. Now a read of targets that succeeds after a failure restarts the other reads, first reads after a failure don't wait, and peers tell the version that they have in force.

--- a/include/clementinebeam/dispatch/dispatchtypes.h
+++ b/include/clementinebeam/dispatch/dispatchtypes.h
@@ -75,6 +75,8 @@
     std::uint32_t slots = 1;
     bool isDraining = false;
     std::chrono::milliseconds coldFor{0}; ///< Remaining time of slow service after its start.
+    /// A draining target may still get requests for keys that it owns until then.
+    instant ownerUntil = instant::max();
 };
 
 } // namespace clementinebeam
--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -20,6 +20,12 @@
         instant leavingSince{}; ///< When it was first seen draining or gone; zero if neither.
 
         bool isLeaving() const { return isGone || entry.isDraining; }
+
+        /// @return until when the target may get requests for keys that it owns, while these move.
+        instant ownerUntil() const;
+
+        /// @return the target for a dispatcher.
+        dispatch_target forDispatch() const;
     };
 
     using target_map = std::map<target_id, listed_target>;
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -111,7 +111,8 @@
         return nullptr;
     auto &state = found->second;
     // The owner may be leaving; nobody else can run the request until the key has moved.
-    const bool isUsableOwner = state.isListed && !state.estimate.isSuspended(now);
+    const bool isUsableOwner =
+            state.isListed && !state.estimate.isSuspended(now) && now < state.target.ownerUntil;
     return isUsableOwner && hasRoom(state, now) ? &state : nullptr;
 }
 
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -18,9 +18,6 @@
 /// Time between two looks at holds and loads of keys.
 constexpr milliseconds KEY_INTERVAL{50};
 constexpr milliseconds REPORT_INTERVAL{2000};
-/// Leaving owners of keys still get requests for this time, until their keys have moved; well below
-/// the time after which they must not get any.
-constexpr milliseconds LEAVING_OWNER_TIME{1000};
 constexpr milliseconds TARGET_UPDATE_INTERVAL{250};
 /// Part of the system's slack for second sends that one coordinator may use; a successor starts
 /// with as much again within the same window.
@@ -122,10 +119,8 @@
         const auto service = std::max(
                 0.001, std::chrono::duration<double>(m_dispatcher.serviceTimeOf(id)).count());
         holders.push_back({id, entry.incarnation, entry.slots / service, listed.isLeaving()});
-        const bool isOwnerStill = m_keys && now < listed.leavingSince + LEAVING_OWNER_TIME;
-        if (listed.isLeaving() && !isOwnerStill)
-            continue;
-        targets.push_back({id, entry.dataCentre, entry.slots, listed.isLeaving(), entry.coldFor});
+        if (m_keys || !listed.isLeaving())
+            targets.push_back(listed.forDispatch());
     }
     m_dispatcher.setTargets(targets, now);
     if (m_keys)
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -70,6 +70,7 @@
     , m_stopTimer(context)
 {
     m_placement.setCoordination(&m_coordination);
+    m_placement.setStalenessHandler([this](store_stream stream) { m_feeds.refresh(stream); });
 }
 
 std::error_code gateway::start()
@@ -208,6 +209,7 @@
             .add("services", configuration.services.size());
     m_metrics.setConfiguration(configuration.version);
     m_routes = std::make_unique<route_table>(std::move(configuration));
+    m_placement.setConfigurationVersion(m_routes->configuration().version);
     m_coordination.setServices(m_routes->configuration().services);
 }
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -30,8 +30,6 @@
 constexpr double RETRY_SHARE_ALONE = 0.05;
 /// Requests of other instances that are remembered.
 constexpr std::size_t MAX_ASKERS = 20000;
-/// Leaving targets are not used when deciding alone, but for owners of keys within this time.
-constexpr milliseconds LEAVING_OWNER_TIME{1000};
 
 std::optional<udp_endpoint> parsePeer(const std::string &text)
 {
@@ -154,11 +152,15 @@
                 .add("coordinator", peer->address().to_string())
                 .add("unanswered", item->unanswered);
         m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
+        if (m_onStale)
+            m_onStale(store_stream::Coordination);
         decideAlone(item);
         return;
     }
     ++item->unanswered;
-    m_channel.send(*peer, messageOf(item->service, item->request, boot_clock::now()));
+    auto message = messageOf(item->service, item->request, boot_clock::now());
+    message.configuration = m_configuration;
+    m_channel.send(*peer, message);
     askLater(item, ASK_AGAIN);
 }
 
@@ -195,11 +197,10 @@
     const auto now = boot_clock::now();
     std::vector<dispatch_target> targets;
     for (const auto &[id, listed] : m_targets.targets()) {
-        const bool isOwnerStill = item.isKeyed && now < listed.leavingSince + LEAVING_OWNER_TIME;
-        if (listed.entry.service != service || (listed.isLeaving() && !isOwnerStill))
+        if (listed.entry.service != service || (listed.isLeaving() && !item.isKeyed))
             continue;
-        targets.push_back({id, listed.entry.dataCentre, SLOTS_ALONE, listed.isLeaving(),
-                           listed.entry.coldFor});
+        targets.push_back(listed.forDispatch());
+        targets.back().slots = SLOTS_ALONE;
     }
     item.dispatcher->setTargets(targets, now);
     if (const auto *record = m_coordination->record(service))
@@ -268,7 +269,7 @@
         finish(decision);
         return;
     }
-    m_channel.send(asker->second, messageOf(service, decision));
+    sendPlacement(asker->second, messageOf(service, decision));
     if (decision.target.empty())
         m_askers.erase(asker);
 }
@@ -303,7 +304,11 @@
     }
     if (placed.by == decider::Alone) {
         dispatch_decisions decisions;
-        local(service).dispatcher->complete(report, boot_clock::now(), decisions);
+        auto noted = report;
+        // What is known of owners may be old while no coordinator answers.
+        if (noted.result == run_result::WrongOwner)
+            noted.result = run_result::NotExecuted;
+        local(service).dispatcher->complete(noted, boot_clock::now(), decisions);
         for (const auto &decision : decisions)
             finish(decision);
         scheduleLocal(service);
@@ -343,6 +348,18 @@
     });
 }
 
+void placement_client::sendPlacement(const udp_endpoint &peer, placement_message message)
+{
+    message.configuration = m_configuration;
+    m_channel.send(peer, message);
+}
+
+void placement_client::compareConfiguration(std::uint64_t version)
+{
+    if (version > m_configuration && m_onStale)
+        m_onStale(store_stream::Configuration);
+}
+
 void placement_client::onMessage(const udp_endpoint &peer, const peer_message &message)
 {
     m_silentUntil.erase(peer);
@@ -358,6 +375,7 @@
 
 void placement_client::takePlaceRequest(const udp_endpoint &peer, const place_message &message)
 {
+    compareConfiguration(message.configuration);
     auto *own = m_coordination->coordinated(message.service);
     if (!own)
         return; // The asker learns from the store who coordinates now.
@@ -365,7 +383,7 @@
         m_askers.clear(); // Askers that ended without a report; those that live ask again.
     m_askers[message.token] = peer;
     if (const auto *decision = own->placed(message.token)) {
-        m_channel.send(peer, messageOf(message.service, *decision));
+        sendPlacement(peer, messageOf(message.service, *decision));
         return;
     }
     if (!own->isWaiting(message.token))
@@ -374,12 +392,13 @@
         placement_message waiting;
         waiting.service = message.service;
         waiting.token = message.token;
-        m_channel.send(peer, waiting);
+        sendPlacement(peer, waiting);
     }
 }
 
 void placement_client::takePlacement(const udp_endpoint &peer, const placement_message &message)
 {
+    compareConfiguration(message.configuration);
     const auto found = m_pending.find(message.token);
     if (found == m_pending.end()) {
         // Decided otherwise meanwhile: the place goes back, unless it is the one in use.
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -24,9 +24,17 @@
     placement_client(boost::asio::io_context &context, peer_channel &channel,
                      const target_directory &targets);
 
+    /// Called when something that a peer knows or does shows that a stream should be read again.
+    using staleness_handler = std::function<void(store_stream)>;
+
     /// @param owner who coordinates; has to be set before the first request.
     void setCoordination(coordination *owner) { m_coordination = owner; }
 
+    void setStalenessHandler(staleness_handler handler) { m_onStale = std::move(handler); }
+
+    /// Takes the version of the configuration in force here.
+    void setConfigurationVersion(std::uint64_t version) { m_configuration = version; }
+
     /// @param service the service.
     /// @param request what to place; its token is set here.
     /// @param done called once with the decision, unless the request is withdrawn.
@@ -99,6 +107,8 @@
     void sendReport(const std::shared_ptr<unconfirmed_report> &item);
     bool isSilent(const udp_endpoint &peer) const;
     std::optional<udp_endpoint> coordinatorOf(const service_name &service) const;
+    void sendPlacement(const udp_endpoint &peer, placement_message message);
+    void compareConfiguration(std::uint64_t version);
     void takePlaceRequest(const udp_endpoint &peer, const place_message &message);
     void takePlacement(const udp_endpoint &peer, const placement_message &message);
     void takeEnded(const udp_endpoint &peer, const ended_message &message);
@@ -108,6 +118,8 @@
     peer_channel &m_channel;
     const target_directory &m_targets;
     coordination *m_coordination = nullptr;
+    staleness_handler m_onStale;
+    std::uint64_t m_configuration = 0;
     request_token m_nextToken;
     std::unordered_map<request_token, pending_pointer> m_pending;
     /// Where a placed request's end is to be reported; an unspecified address means here, as
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -22,12 +22,13 @@
     std::string dataCentre;
     target_id excluded;
     std::uint64_t fingerprint = 0;
+    std::uint64_t configuration = 0; ///< Version in force at the sender.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, hasKey, key, priority, isRetry, ageUs, objectiveUs, deadlineUs,
-                dataCentre, excluded, fingerprint);
+                dataCentre, excluded, fingerprint, configuration);
     }
 };
 
@@ -40,11 +41,12 @@
     std::int64_t retryAfterMs = 0;
     std::int64_t waitedUs = 0;
     std::uint32_t queueLength = 0;
+    std::uint64_t configuration = 0; ///< Version in force at the sender.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(service, token, target, reason, retryAfterMs, waitedUs, queueLength);
+        archive(service, token, target, reason, retryAfterMs, waitedUs, queueLength, configuration);
     }
 };
 
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -127,9 +127,12 @@
         return;
     }
     const auto *listed = m_around.targets.find(decision.target);
-    if (!listed || listed->entry.service != m_service || timeLeft() <= milliseconds(0)) {
+    const bool isUsable = listed && listed->entry.service == m_service
+            && boot_clock::now() < listed->ownerUntil();
+    if (!isUsable || timeLeft() <= milliseconds(0)) {
         reportRun(run_result::NotUsed, std::nullopt);
-        onFailure(run_result::NotSent, "target_unknown_here");
+        ++m_unsentTries;
+        onFailure(run_result::NotSent, listed ? "target_leaving" : "target_unknown_here");
         return;
     }
     send(listed->entry);
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds MIN_PAUSE{60};
 constexpr milliseconds FIRST_BACKOFF{150};
 constexpr milliseconds MAX_BACKOFF{800};
+constexpr milliseconds MIN_REFRESH_INTERVAL{300};
 /// Failed reads in a row after which the store counts as away.
 constexpr std::uint32_t AWAY_FAILURES = 2;
 
@@ -77,20 +78,40 @@
     return m_ownership.failures < AWAY_FAILURES && m_ownership.wasComplete;
 }
 
-const store_feeds::feed &store_feeds::feedOf(store_stream stream) const
+store_feeds::feed &store_feeds::feedOf(store_stream stream)
 {
     if (stream == store_stream::Configuration)
         return m_configuration;
     return stream == store_stream::Targets ? m_targetFeed : m_ownership;
 }
 
-milliseconds store_feeds::age(store_stream stream, instant now) const
+milliseconds store_feeds::age(store_stream stream, instant now)
 {
     return std::chrono::duration_cast<milliseconds>(now - feedOf(stream).confirmedAt);
 }
 
+void store_feeds::refresh(store_stream stream)
+{
+    auto &item = feedOf(stream);
+    if (m_isStopped || boot_clock::now() < item.askedAt + MIN_REFRESH_INTERVAL)
+        return;
+    item.timer.cancel();
+    read(item);
+}
+
+void store_feeds::restartHungReads(instant before)
+{
+    for (auto *item : {&m_configuration, &m_ownership}) {
+        if (item->askedAt < before)
+            refresh(item->stream);
+    }
+}
+
 milliseconds store_feeds::waitOf(const feed &item) const
 {
+    // After a failure the first answer counts more than the news.
+    if (item.failures > 0)
+        return milliseconds(0);
     if (item.stream == store_stream::Configuration)
         return CONFIGURATION_WAIT;
     if (item.stream == store_stream::Targets)
@@ -125,16 +146,17 @@
 void store_feeds::read(feed &item)
 {
     const auto askedAt = boot_clock::now();
-    if (!item.isPositioned) {
-        m_store.readNewest(item.stream, [this, &item, askedAt](store_batch batch) {
-            onBatch(item, std::move(batch), askedAt, true);
-        });
-        return;
-    }
-    m_store.readFrom(item.stream, item.next, waitOf(item),
-                     [this, &item, askedAt](store_batch batch) {
-                         onBatch(item, std::move(batch), askedAt, false);
-                     });
+    const auto number = ++item.reads;
+    const bool isWhole = !item.isPositioned;
+    item.askedAt = askedAt;
+    const auto done = [this, &item, number, askedAt, isWhole](store_batch batch) {
+        if (number == item.reads)
+            onBatch(item, std::move(batch), askedAt, isWhole);
+    };
+    if (isWhole)
+        m_store.readNewest(item.stream, done);
+    else
+        m_store.readFrom(item.stream, item.next, waitOf(item), done);
 }
 
 void store_feeds::noteReachable(feed &item, store_failure failure)
@@ -153,6 +175,19 @@
             .add("offset", item.next);
 }
 
+void store_feeds::noteTargetRead(const feed &item, instant askedAt, instant now)
+{
+    const bool isReachable = item.failures == 0;
+    m_targets.setStoreReachable(isReachable, now);
+    if (!isReachable && m_lostAt == instant{})
+        m_lostAt = askedAt;
+    if (!isReachable || m_lostAt == instant{})
+        return;
+    // A store that was away never answers what it was asked before it went.
+    restartHungReads(now);
+    m_lostAt = instant{};
+}
+
 void store_feeds::onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole)
 {
     if (m_isStopped)
@@ -161,7 +196,7 @@
     m_metrics.countStoreCall(isWhole ? "read_newest" : "read", nameOf(batch.failure));
     noteReachable(item, batch.failure);
     if (item.stream == store_stream::Targets)
-        m_targets.setStoreReachable(item.failures == 0, now);
+        noteTargetRead(item, askedAt, now);
     if (batch.failure == store_failure::Forgotten) {
         log_line(log_level::Warning, "stream_forgotten")
                 .add("stream", nameOf(item.stream))
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -41,6 +41,10 @@
     void start();
     void stop();
 
+    /// Reads a stream at once on another connection, as when a peer knows of something newer or the
+    /// present read may hang; not more often than a few times a second.
+    void refresh(store_stream stream);
+
     /// @return whether all streams were read at least once.
     bool isComplete() const;
 
@@ -48,7 +52,7 @@
     bool isStoreReachable(instant now) const;
 
     /// @return the time since a stream was last confirmed to be up to date.
-    std::chrono::milliseconds age(store_stream stream, instant now) const;
+    std::chrono::milliseconds age(store_stream stream, instant now);
 
 private:
     /// Reading position in one stream.
@@ -65,11 +69,16 @@
         bool isReachable = false;
         bool wasComplete = false;
         std::uint32_t failures = 0;
+        std::uint64_t reads =
+                0; ///< Number of the present read; answers to earlier ones are dropped.
+        instant askedAt{};
         instant confirmedAt{};
     };
 
     void read(feed &item);
     void onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole);
+    void noteTargetRead(const feed &item, instant askedAt, instant now);
+    void restartHungReads(instant before);
     void apply(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
     void applyConfiguration(const store_batch &batch);
     void applyTargets(const store_batch &batch, instant now, bool isWhole);
@@ -79,7 +88,7 @@
     std::chrono::milliseconds pauseOf(const feed &item) const;
     std::chrono::milliseconds backoff(const feed &item) const;
     void noteReachable(feed &item, store_failure failure);
-    const feed &feedOf(store_stream stream) const;
+    feed &feedOf(store_stream stream);
 
     i_cluster_store &m_store;
     const i_message_format &m_format;
@@ -89,6 +98,7 @@
     feed m_configuration;
     feed m_targetFeed;
     feed m_ownership;
+    instant m_lostAt{}; ///< First failed read of targets since the last success; zero if none.
     bool m_isStopped = false;
 };
 
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -13,8 +13,23 @@
 /// Keys are held for at most ten seconds, so nothing is left to be taken back after this time.
 constexpr milliseconds GONE_MEMORY{30000};
 
+/// Leaving owners of keys still get requests for this time, until their keys have moved. A leaving
+/// target must get none 2 s after it said so, and it takes up to 0.9 s until every instance reads
+/// it.
+constexpr milliseconds LEAVING_OWNER_TIME{600};
+
 } // namespace
 
+instant target_directory::listed_target::ownerUntil() const
+{
+    return isLeaving() ? leavingSince + LEAVING_OWNER_TIME : instant::max();
+}
+
+dispatch_target target_directory::listed_target::forDispatch() const
+{
+    return {entry.id, entry.dataCentre, entry.slots, isLeaving(), entry.coldFor, ownerUntil()};
+}
+
 bool target_directory::isRecovering(instant now) const
 {
     return !m_isStoreReachable || (m_outageEnd != instant{} && now < m_outageEnd + RELIST_TIME);
