Keep renewals on time under load; shorten the wait for gone targets; reject what has no owner soon

Ruled out: hung reads of the ownership stream (traced, none of that length). A due timer now stays. Cause 2: after each takeover, keys of targets that were already gone waited for the earlier coordinator's whole right again. The record now names the last term that may have granted a range, and instances remember when they saw a term end. The right is 10 s (was 15). Cause 3: requests for keys without an owner waited until nothing could come of them. The dispatcher now knows when a key is expected to be served.

--- a/include/clementinebeam/dispatch/ikeydirectory.h
+++ b/include/clementinebeam/dispatch/ikeydirectory.h
@@ -13,6 +13,10 @@
     /// @param key a key.
     /// @return its owner, or an empty id while it has none.
     virtual target_id ownerOf(key_number key) const = 0;
+
+    /// @param key a key without an owner.
+    /// @return when it is expected to have one; the past if nothing is known.
+    virtual instant expectedOwnerAt(key_number key) const = 0;
 };
 
 } // namespace clementinebeam
--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -15,8 +15,10 @@
     std::chrono::milliseconds renewInterval{900}; ///< Time between renewals of a grant.
     std::chrono::milliseconds retryInterval{250}; ///< Time before a failed order is repeated.
     /// How long a coordinator may act after it last saw in the store that it is the newest.
-    std::chrono::milliseconds rightDuration{15000};
+    std::chrono::milliseconds rightDuration{10000};
     std::chrono::milliseconds planInterval{250};
+    /// Time before a release is repeated to a target that can't be reached.
+    std::chrono::milliseconds unreachableInterval{1000};
     /// Time that a target may measure less than we do, as a share of the hold time.
     double clockDrift = 0.02;
     std::chrono::milliseconds clockMargin{150}; ///< For delays on the way to a target.
@@ -24,6 +26,9 @@
     std::chrono::milliseconds avoidance{3000};
 };
 
+/// When coordinators had successors, by their term.
+using succession = std::map<std::uint64_t, instant>;
+
 /// Keeps the keys of one service owned by one target each.
 ///
 /// A range changes its owner in this order: the old owner confirms its release, or all holds that
@@ -39,8 +44,9 @@
     ///     ranges are granted again with new tokens.
     /// @param claimedAt when the claim was sent to the store.
     /// @param now the present time.
+    /// @param succeeded when this instance saw that the coordinator of a term had a successor.
     key_coordinator(const coordinator_settings &settings, ownership_record record,
-                    instant claimedAt, instant now);
+                    instant claimedAt, instant now, const succession &succeeded = {});
 
     void setHolders(const std::vector<key_holder> &holders);
 
@@ -73,6 +79,9 @@
     /// @return owners that requests may be sent to: ranges with an accepted grant.
     std::vector<range_assignment> served(instant now) const;
 
+    /// @return keys that no target serves, and when they are expected to be served.
+    std::vector<unserved_range> unserved(instant now) const;
+
     /// @return a number that rises whenever served() may have changed.
     std::uint64_t revision() const { return m_revision; }
 
@@ -108,6 +117,7 @@
     instant holdEnd(instant sent, std::chrono::milliseconds hold) const;
     const key_holder *holder(const target_id &id) const;
     void splitAt(key_number first);
+    void fenceFirst(owned_range &range);
     void markReleasing(const range_move &move);
     void releaseLeaving(instant now);
     void reassignRestarted();
--- a/include/clementinebeam/keyspace/keymap.h
+++ b/include/clementinebeam/keyspace/keymap.h
@@ -10,12 +10,15 @@
 {
 public:
     /// @param ranges assignments in order of keys.
-    void assign(std::vector<range_assignment> ranges) { m_ranges = std::move(ranges); }
+    /// @param unserved keys without an owner in order; may be empty.
+    void assign(std::vector<range_assignment> ranges, std::vector<unserved_range> unserved = {});
 
     target_id ownerOf(key_number key) const override;
+    instant expectedOwnerAt(key_number key) const override;
 
 private:
     std::vector<range_assignment> m_ranges;
+    std::vector<unserved_range> m_unserved;
 };
 
 } // namespace clementinebeam
--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -42,13 +42,15 @@
     target_id target;              ///< Empty if nobody owns the keys.
     std::uint64_t incarnation = 0; ///< Start of the target's process.
     fence_number fence = 0;
+    /// Term of the last coordinator that may have granted the keys to the target.
+    std::uint64_t grantTerm = 0;
 
     bool operator==(const range_assignment &) const = default;
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(keys, target, incarnation, fence);
+        archive(keys, target, incarnation, fence, grantTerm);
     }
 };
 
@@ -107,6 +109,12 @@
     bool wantsStore = false; ///< record() is to be stored.
 };
 
+/// Keys without an owner, and when they are expected to have one.
+struct unserved_range {
+    key_range keys;
+    instant expected;
+};
+
 /// A range that is to change its owner.
 struct range_move {
     key_range keys;
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -176,6 +176,8 @@
 {
     const auto owner = m_owners->ownerOf(*request.key);
     const auto found = m_targets.find(owner);
+    if (owner.empty())
+        return std::max(microseconds(0), m_owners->expectedOwnerAt(*request.key) - now);
     if (found == m_targets.end())
         return microseconds(
                 0); // A key without owner is served again within the objective or not at all.
@@ -319,7 +321,10 @@
 {
     std::vector<dispatch_request> hopeless;
     for (const auto &[token, request] : m_waiting) {
-        const auto end = now + typicalServiceTime(request);
+        const bool hasNoOwner = m_owners && request.key && m_owners->ownerOf(*request.key).empty();
+        const auto begin =
+                hasNoOwner ? std::max(now, m_owners->expectedOwnerAt(*request.key)) : now;
+        const auto end = begin + typicalServiceTime(request);
         if (end > admission_policy::latestUsefulEnd(request.objective, request.deadline))
             hopeless.push_back(request);
     }
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -18,6 +18,8 @@
 /// Time between two looks at holds and loads of keys.
 constexpr milliseconds KEY_INTERVAL{50};
 constexpr milliseconds REPORT_INTERVAL{2000};
+/// Holds and expectations change with time also while no owner does.
+constexpr milliseconds OWNERS_UPDATE_INTERVAL{200};
 constexpr milliseconds TARGET_UPDATE_INTERVAL{250};
 /// Part of the system's slack for second sends that one coordinator may use; a successor starts
 /// with as much again within the same window.
@@ -88,7 +90,8 @@
 } // namespace
 
 coordinated_service::coordinated_service(environment around, ownership_record record, bool isKeyed,
-                                         const service_bounds &bounds, instant claimedAt)
+                                         const service_bounds &bounds, instant claimedAt,
+                                         const succession &succeeded)
     : m_around(std::move(around))
     , m_name(record.service)
     , m_record(std::move(record))
@@ -98,7 +101,7 @@
     , m_isAlive(std::make_shared<bool>(true))
 {
     if (isKeyed)
-        m_keys.emplace(keySettings(bounds), m_record, claimedAt, boot_clock::now());
+        m_keys.emplace(keySettings(bounds), m_record, claimedAt, boot_clock::now(), succeeded);
 }
 
 coordinated_service::~coordinated_service()
@@ -196,6 +199,13 @@
 
 void coordinated_service::advanceKeys(instant now)
 {
+    m_nextKeyAdvance = now + KEY_INTERVAL;
+    if (m_keys->isExpired(now) != m_isRightExpired) {
+        m_isRightExpired = !m_isRightExpired;
+        log_line(log_level::Warning, m_isRightExpired ? "right_expired" : "right_regained")
+                .add("service", m_name)
+                .add("term", m_record.term);
+    }
     const auto actions = m_keys->advance(now);
     for (const auto &order : actions.releases)
         sendRelease(order);
@@ -210,10 +220,11 @@
 
 void coordinated_service::updateOwners(instant now)
 {
-    if (m_keys->revision() == m_ownersRevision && now < m_nextReport)
+    if (m_keys->revision() == m_ownersRevision && now < m_nextOwnersUpdate)
         return;
+    m_nextOwnersUpdate = now + OWNERS_UPDATE_INTERVAL;
     m_ownersRevision = m_keys->revision();
-    m_owners.assign(m_keys->served(now));
+    m_owners.assign(m_keys->served(now), m_keys->unserved(now));
 }
 
 void coordinated_service::reportKeys()
@@ -233,15 +244,16 @@
     const auto now = boot_clock::now();
     auto next = m_dispatcher.nextDeadline(now);
     if (m_keys)
-        next = std::min(next, now + KEY_INTERVAL);
-    if (next == instant::max()) {
-        m_timer.cancel();
+        next = std::min(next, m_nextKeyAdvance);
+    // A timer that is due sooner stays, so that frequent requests can't put it off for ever.
+    if (next >= m_timerDue)
         return;
-    }
-    m_timer.expires_after(next - now);
+    m_timerDue = next;
+    m_timer.expires_after(std::max(next - now, boot_clock::duration(0)));
     m_timer.async_wait([this, isAlive = m_isAlive](boost::system::error_code error) {
         if (error || !*isAlive)
             return;
+        m_timerDue = instant::max();
         if (boot_clock::now() >= m_nextTargetUpdate)
             updateTargets();
         else
@@ -265,7 +277,10 @@
 {
     call(order.target, m_around.format.releaseCall(order), RELEASE_TIMEOUT,
          [this, order](order_result outcome, const std::string &handover) {
-             logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
+             if (outcome == order_result::Accepted)
+                 logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
+             else
+                 logOrder(log_level::Warning, "release_failed", m_name, order, nameOf(outcome));
              m_keys->onReleaseResult(order, outcome, handover, boot_clock::now());
              act();
          });
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -39,8 +39,10 @@
     /// @param isKeyed whether targets of the service own keys.
     /// @param bounds the users' figures.
     /// @param claimedAt when the claim was sent.
+    /// @param succeeded when coordinators of earlier terms were seen to have successors.
     coordinated_service(environment around, ownership_record record, bool isKeyed,
-                        const service_bounds &bounds, instant claimedAt);
+                        const service_bounds &bounds, instant claimedAt,
+                        const succession &succeeded);
     ~coordinated_service();
 
     /// Begins to act; to be called once the owner can take decisions.
@@ -88,7 +90,11 @@
     std::uint64_t m_ownersRevision = 0;
     std::uint64_t m_reportedMoves = 0;
     instant m_nextReport{};
+    instant m_nextOwnersUpdate{};
     instant m_nextTargetUpdate{};
+    instant m_nextKeyAdvance{};
+    instant m_timerDue = instant::max();
+    bool m_isRightExpired = false;
     bool m_isActing = false;
     std::shared_ptr<bool> m_isAlive;
 };
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -134,8 +134,12 @@
     claim.coordinator = m_around.peerAddress;
     claim.coordinatorRun = m_around.processRun;
     // One new token for all ranges: targets then refuse orders of earlier coordinators.
-    for (auto &range : claim.ranges)
+    for (auto &range : claim.ranges) {
         range.fence = claim.nextFence;
+        const auto *target = m_around.targets.find(range.target);
+        if (target && !target->isLeaving())
+            range.grantTerm = claim.term;
+    }
     ++claim.nextFence;
     if (!service.isKeyed)
         claim.ranges.clear();
@@ -218,6 +222,8 @@
     if (isOld)
         return;
     const bool isNewCoordinator = !known || known->term != record.term;
+    if (known && isNewCoordinator)
+        m_succession[record.service].emplace(known->term, boot_clock::now());
     m_records[record.service] = record;
     if (!isOwn(record)) {
         resign(record.service, record);
@@ -246,7 +252,7 @@
                                     m_unstored.insert(name);
                                     storeNext();
                                 }},
-                        record, isKeyed, m_around.bounds, claimedAt));
+                        record, isKeyed, m_around.bounds, claimedAt, m_succession[record.service]));
         place->second->setStoreReachable(m_isStoreReachable);
         place->second->start();
     }
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -83,6 +83,7 @@
     std::set<std::uint32_t> m_parts;
     std::uint64_t m_generation = 0;
     std::map<service_name, ownership_record> m_records;
+    std::map<service_name, succession> m_succession;
     std::map<service_name, std::unique_ptr<coordinated_service>> m_coordinated;
     std::set<service_name> m_unstored; ///< Services whose record is to be stored.
     std::uint64_t m_end = 0;           ///< Where the ownership stream ends, as far as is known.
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -10,13 +10,15 @@
 
 /// Failed grants in a row after which the target is taken as unreachable.
 constexpr std::uint32_t UNREACHABLE_FAILURES = 2;
+/// A release waits for running work, then come an append and a grant.
+constexpr milliseconds TYPICAL_MOVE{150};
 /// A grant shorter than this would run out before its renewal.
 constexpr milliseconds MIN_HOLD{300};
 
 } // namespace
 
 key_coordinator::key_coordinator(const coordinator_settings &settings, ownership_record record,
-                                 instant claimedAt, instant now)
+                                 instant claimedAt, instant now, const succession &succeeded)
     : m_settings(settings)
     , m_record(std::move(record))
     , m_rightSeenAt(claimedAt)
@@ -26,10 +28,18 @@
         owned_range range;
         range.assignment = assignment;
         range.isStored = true;
-        if (!assignment.target.empty()) {
-            range.state = phase::Assigned;
-            range.heldUntil = m_earlierHolds;
+        if (assignment.target.empty()) {
+            m_ranges.push_back(std::move(range));
+            continue;
         }
+        const auto ended = succeeded.find(assignment.grantTerm);
+        const bool isInherited = assignment.grantTerm != m_record.term;
+        // Targets that were gone at the claim get no grant, so only earlier holds count.
+        range.state = isInherited ? phase::Releasing : phase::Assigned;
+        range.heldUntil = isInherited && ended != succeeded.end()
+                ? holdEnd(ended->second, m_settings.rightDuration)
+                : m_earlierHolds;
+        range.heldBeforeCall = range.heldUntil;
         m_ranges.push_back(std::move(range));
     }
     if (m_ranges.empty())
@@ -117,7 +127,13 @@
             continue;
         range.isCalling = false;
         if (result != order_result::Accepted) {
-            range.nextCall = now + m_settings.retryInterval;
+            range.nextCall = now
+                    + (result == order_result::NotSent ? m_settings.unreachableInterval
+                                                       : m_settings.retryInterval);
+            continue;
+        }
+        if (!range.isFenced && now < range.heldUntil) {
+            fenceFirst(range);
             continue;
         }
         range.handover = handover;
@@ -126,6 +142,19 @@
     }
 }
 
+/// Grants the range to its leaving target, so that earlier coordinators can't renew after the
+/// release.
+void key_coordinator::fenceFirst(owned_range &range)
+{
+    range.state = phase::Assigned;
+    range.assignment.grantTerm = m_record.term;
+    range.assignment.fence = m_record.nextFence++;
+    range.isStored = false;
+    range.failures = 0;
+    range.nextCall = instant{};
+    m_isDirty = true;
+}
+
 void key_coordinator::onStored(fence_number nextFence)
 {
     m_isStoring = false;
@@ -269,6 +298,7 @@
     range.assignment.target = target.id;
     range.assignment.incarnation = target.incarnation;
     range.assignment.fence = m_record.nextFence++;
+    range.assignment.grantTerm = m_record.term;
     range.isStored = false;
     range.isAccepted = false;
     range.isFenced = false;
@@ -416,4 +446,21 @@
     return result;
 }
 
+std::vector<unserved_range> key_coordinator::unserved(instant now) const
+{
+    std::vector<unserved_range> result;
+    for (const auto &range : m_ranges) {
+        const bool isServed =
+                range.state == phase::Assigned && range.isAccepted && now < range.heldUntil;
+        if (isServed)
+            continue;
+        const bool isUnreachable = range.failures > 0
+                || (range.state == phase::Releasing && range.nextCall > now)
+                || range.state == phase::Expiring;
+        result.push_back(
+                {range.assignment.keys, isUnreachable ? range.heldUntil : now + TYPICAL_MOVE});
+    }
+    return result;
+}
+
 } // namespace clementinebeam
