--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/asynchttp/httpmessages.h"
+#include "clementinebeam/kernel/bootclock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,6 +33,13 @@
     client_connection(boost::asio::io_context &context, tcp_endpoint peer,
                       std::chrono::milliseconds connectTimeout);
 
+    /// Connects without sending anything.
+    /// @param done called with whether the connection stands, unless close() comes first.
+    void open(std::function<void(bool)> done);
+
+    /// @return when the connection was made; zero before that.
+    instant openedAt() const { return m_openedAt; }
+
     /// Sends a call and reads its answer; connects first if necessary.
     /// @param call the call; its payload has to be prepared.
     /// @param filter tells answers to earlier calls apart; may be empty.
@@ -64,7 +72,7 @@
 
     using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-    void connect();
+    void onConnected(bool isOpen);
     void startWrite();
     void startRead();
     void onBytes();
@@ -87,6 +95,8 @@
     http_call m_call;
     answer_filter m_filter;
     completion m_done;
+    std::function<void(bool)> m_onOpen;
+    instant m_openedAt{};
     closed_handler m_onClosed;
     boost::beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -14,6 +14,7 @@
     std::chrono::milliseconds longHold{9500};     ///< Hold time while the store is away.
     std::chrono::milliseconds renewInterval{900}; ///< Time between renewals of a grant.
     std::chrono::milliseconds retryInterval{250}; ///< Time before a failed order is repeated.
+    std::chrono::milliseconds deferral{30};       ///< Time before a deferred grant is repeated.
     /// How long a coordinator may act after it last saw in the store that it is the newest.
     std::chrono::milliseconds rightDuration{10000};
     std::chrono::milliseconds planInterval{250};
@@ -54,6 +55,13 @@
     /// @param seenAt send time of the last store call that showed this coordinator as the newest.
     void confirmRight(instant seenAt) { m_rightSeenAt = std::max(m_rightSeenAt, seenAt); }
 
+    /// A target that restarts forgets all tokens, so a coordinator that was replaced meanwhile
+    /// could renew a hold in the target's next life. A connection that stands since before the
+    /// right was last proved shows that neither has happened.
+    /// @param connectedAt when the connection to the target was made.
+    /// @return whether a grant may be sent on the connection.
+    bool mayGrantOn(instant connectedAt) const { return connectedAt <= m_rightSeenAt; }
+
     /// @return whether the right to act has run out.
     bool isExpired(instant now) const { return now >= m_rightSeenAt + m_settings.rightDuration; }
 
--- a/include/clementinebeam/keyspace/keyload.h
+++ b/include/clementinebeam/keyspace/keyload.h
@@ -13,6 +13,10 @@
 class key_load
 {
 public:
+    /// Time constants of the two rates.
+    static constexpr double RECENT_SECONDS = 0.8;
+    static constexpr double STEADY_SECONDS = 8.0;
+
     key_load();
 
     /// Counts a request for a key.
--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -97,6 +97,7 @@
 /// What a target made of an order.
 enum class order_result {
     Accepted,
+    Deferred,   ///< The order was not sent, as too little is known of the target's present life.
     Superseded, ///< The target knows a higher fencing token.
     NotSent,    ///< The order did not leave this process.
     Unanswered, ///< The order may have been carried out, or may be later.
--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -33,38 +33,56 @@
     m_droppedAnswers = 0;
     resetParser();
     if (m_state == state::Unconnected) {
-        connect();
+        open([this](bool isOpen) {
+            if (!isOpen) {
+                fail(exchange_failure::NotSent);
+                return;
+            }
+            m_state = state::Busy;
+            startWrite();
+        });
         return;
     }
     m_state = state::Busy;
     startWrite();
 }
 
-void client_connection::connect()
+void client_connection::open(std::function<void(bool)> done)
 {
+    m_onOpen = std::move(done);
     m_state = state::Connecting;
     m_connectTimer.expires_after(m_connectTimeout);
     m_connectTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error && self->m_state == state::Connecting)
-            self->fail(exchange_failure::NotSent);
+            self->onConnected(false);
     });
     m_socket.async_connect(m_peer, [self = shared_from_this()](boost::system::error_code error) {
         if (self->m_state != state::Connecting)
             return;
         self->m_connectTimer.cancel();
-        if (error) {
-            self->fail(exchange_failure::NotSent);
-            return;
-        }
-        prepareSocket(self->m_socket);
-        if (self->m_isProbed)
-            probeWhileIdle(self->m_socket);
-        self->m_state = state::Busy;
-        self->startWrite();
-        self->startRead();
+        self->onConnected(!error);
     });
 }
 
+void client_connection::onConnected(bool isOpen)
+{
+    const auto done = std::move(m_onOpen);
+    m_onOpen = nullptr;
+    if (!isOpen) {
+        // The completion of an exchange, if there is one, is told before the connection closes.
+        done(false);
+        close();
+        return;
+    }
+    prepareSocket(m_socket);
+    if (m_isProbed)
+        probeWhileIdle(m_socket);
+    m_openedAt = boot_clock::now();
+    m_state = state::Idle;
+    startRead();
+    done(true);
+}
+
 void client_connection::startWrite()
 {
     m_isWriting = true;
@@ -197,6 +215,7 @@
 {
     m_state = state::Closed;
     m_done = nullptr;
+    m_onOpen = nullptr;
     m_connectTimer.cancel();
     closeQuietly(m_socket);
 }
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -64,6 +64,8 @@
     switch (value) {
     case order_result::Accepted:
         return "accepted";
+    case order_result::Deferred:
+        return "deferred";
     case order_result::Superseded:
         return "superseded";
     case order_result::NotSent:
@@ -263,45 +265,82 @@
 
 void coordinated_service::sendGrant(const grant_order &order)
 {
-    call(order.target, m_around.format.grantCall(order), GRANT_TIMEOUT,
-         [this, order](order_result outcome, const std::string &) {
-             if (outcome != order_result::Accepted)
-                 logOrder(log_level::Warning, "grant_failed", m_name, order, nameOf(outcome));
-             m_keys->onGrantResult(order, outcome, boot_clock::now());
-             if (outcome == order_result::Accepted)
-                 act();
-         });
+    const auto done = [this, order](order_result outcome, const std::string &) {
+        if (outcome != order_result::Accepted && outcome != order_result::Deferred)
+            logOrder(log_level::Warning, "grant_failed", m_name, order, nameOf(outcome));
+        m_keys->onGrantResult(order, outcome, boot_clock::now());
+        if (outcome == order_result::Accepted)
+            act();
+    };
+    const auto *listed = m_around.targets.find(order.target);
+    if (!listed) {
+        finishLater(order_result::NotSent, done);
+        return;
+    }
+    const auto entry = listed->entry;
+    const auto connection = m_controlPool.take(entry);
+    if (!connection->isReusable()) {
+        connect(entry, connection, done);
+        return;
+    }
+    if (!m_keys->mayGrantOn(connection->openedAt())) {
+        m_controlPool.giveBack(entry, connection, std::nullopt);
+        m_around.onProofWanted();
+        finishLater(order_result::Deferred, done);
+        return;
+    }
+    call(entry, connection, m_around.format.grantCall(order), GRANT_TIMEOUT, done);
 }
 
-void coordinated_service::sendRelease(const release_order &order)
+void coordinated_service::connect(const target_entry &entry,
+                                  const std::shared_ptr<client_connection> &connection,
+                                  const order_handler &done)
+{
+    connection->open([=, this, isAlive = m_isAlive](bool isOpen) {
+        if (!*isAlive)
+            return;
+        if (isOpen) {
+            m_controlPool.giveBack(entry, connection, std::nullopt);
+            m_around.onProofWanted();
+        }
+        done(isOpen ? order_result::Deferred : order_result::NotSent, {});
+    });
+}
+
+void coordinated_service::finishLater(order_result outcome, const order_handler &done)
 {
-    call(order.target, m_around.format.releaseCall(order), RELEASE_TIMEOUT,
-         [this, order](order_result outcome, const std::string &handover) {
-             if (outcome == order_result::Accepted)
-                 logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
-             else
-                 logOrder(log_level::Warning, "release_failed", m_name, order, nameOf(outcome));
-             m_keys->onReleaseResult(order, outcome, handover, boot_clock::now());
-             act();
-         });
+    boost::asio::post(m_around.context, [outcome, done, isAlive = m_isAlive] {
+        if (*isAlive)
+            done(outcome, {});
+    });
 }
 
-void coordinated_service::call(const target_id &target, http_call request, milliseconds timeout,
-                               std::function<void(order_result, const std::string &)> done)
+void coordinated_service::sendRelease(const release_order &order)
 {
-    const auto *listed = m_around.targets.find(target);
-    const auto isAlive = m_isAlive;
+    const auto done = [this, order](order_result outcome, const std::string &handover) {
+        if (outcome == order_result::Accepted)
+            logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
+        else
+            logOrder(log_level::Warning, "release_failed", m_name, order, nameOf(outcome));
+        m_keys->onReleaseResult(order, outcome, handover, boot_clock::now());
+        act();
+    };
+    const auto *listed = m_around.targets.find(order.target);
     if (!listed) {
-        boost::asio::post(m_around.context, [isAlive, done = std::move(done)] {
-            if (*isAlive)
-                done(order_result::NotSent, {});
-        });
+        finishLater(order_result::NotSent, done);
         return;
     }
-    const auto entry = listed->entry;
-    const auto connection = m_controlPool.take(entry);
+    call(listed->entry, m_controlPool.take(listed->entry), m_around.format.releaseCall(order),
+         RELEASE_TIMEOUT, done);
+}
+
+void coordinated_service::call(const target_entry &entry,
+                               const std::shared_ptr<client_connection> &connection,
+                               http_call request, milliseconds timeout, const order_handler &done)
+{
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_around.context);
     const auto finished = std::make_shared<bool>(false);
+    const auto isAlive = m_isAlive;
     timer->expires_after(timeout);
     timer->async_wait([=](boost::system::error_code error) {
         if (error || *finished || !*isAlive)
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -32,6 +32,8 @@
         gateway_metrics &metrics;
         decision_handler onDecision;
         store_handler onStoreWanted;
+        /// Asks for a fresh proof that this instance is the newest coordinator.
+        std::function<void()> onProofWanted;
     };
 
     /// @param around what the service works with.
@@ -68,6 +70,9 @@
     ownership_record record() const;
 
 private:
+    /// Takes the outcome of an order, and the state reference that a release returned.
+    using order_handler = std::function<void(order_result, const std::string &)>;
+
     void act();
     void advanceKeys(instant now);
     void updateOwners(instant now);
@@ -75,8 +80,11 @@
     void schedule();
     void sendGrant(const grant_order &order);
     void sendRelease(const release_order &order);
-    void call(const target_id &target, http_call request, std::chrono::milliseconds timeout,
-              std::function<void(order_result, const std::string &)> done);
+    void call(const target_entry &entry, const std::shared_ptr<client_connection> &connection,
+              http_call request, std::chrono::milliseconds timeout, const order_handler &done);
+    void connect(const target_entry &entry, const std::shared_ptr<client_connection> &connection,
+                 const order_handler &done);
+    void finishLater(order_result outcome, const order_handler &done);
     void reportKeys();
 
     environment m_around;
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -251,7 +251,8 @@
                                 [this, name = record.service] {
                                     m_unstored.insert(name);
                                     storeNext();
-                                }},
+                                },
+                                m_around.onProofWanted},
                         record, isKeyed, m_around.bounds, claimedAt, m_succession[record.service]));
         place->second->setStoreReachable(m_isStoreReachable);
         place->second->start();
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -31,6 +31,8 @@
         std::function<void(const service_name &, const dispatch_decision &)> onDecision;
         /// Called when the coordinator of a service has changed.
         std::function<void(const service_name &)> onCoordinatorChanged;
+        /// Called when the ownership stream should be read at once.
+        std::function<void()> onProofWanted;
     };
 
     explicit coordination(environment around);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -57,7 +57,8 @@
                [this](const service_name &service, const dispatch_decision &decision) {
                    m_placement.onDecision(service, decision);
                },
-               [this](const service_name &service) { m_placement.onCoordinatorChanged(service); }})
+               [this](const service_name &service) { m_placement.onCoordinatorChanged(service); },
+               [this] { m_feeds.prove(); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
     , m_exchangeEnvironment{context, format,    m_targets,          m_placement,
                             m_pool,  m_metrics, settings.dataCentre}
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -99,6 +99,21 @@
     read(item);
 }
 
+void store_feeds::prove()
+{
+    if (m_isStopped || m_isProving || !m_ownership.isPositioned)
+        return;
+    m_isProving = true;
+    const auto askedAt = boot_clock::now();
+    m_store.readFrom(store_stream::Coordination, m_ownership.next, milliseconds(0),
+                     [this, askedAt](const store_batch &batch) {
+                         m_isProving = false;
+                         m_metrics.countStoreCall("prove", nameOf(batch.failure));
+                         if (batch.failure == store_failure::None && !m_isStopped)
+                             applyOwnership(batch, askedAt);
+                     });
+}
+
 void store_feeds::restartHungReads(instant before)
 {
     for (auto *item : {&m_configuration, &m_ownership}) {
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -45,6 +45,10 @@
     /// present read may hang; not more often than a few times a second.
     void refresh(store_stream stream);
 
+    /// Reads the ownership stream without waiting for news, as soon as reads that were already
+    /// asked for this purpose are answered.
+    void prove();
+
     /// @return whether all streams were read at least once.
     bool isComplete() const;
 
@@ -98,6 +102,7 @@
     feed m_configuration;
     feed m_targetFeed;
     feed m_ownership;
+    bool m_isProving = false;
     instant m_lostAt{}; ///< First failed read of targets since the last success; zero if none.
     bool m_isStopped = false;
 };
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -91,7 +91,8 @@
             range.failures = 0;
             range.handover.clear();
             range.destination.clear();
-            range.heldUntil = std::max(range.unansweredUntil, holdEnd(now, order.hold));
+            // A renewal with a shorter hold may leave a longer one in force.
+            range.heldUntil = std::max(range.heldUntil, holdEnd(now, order.hold));
             break;
         case order_result::Superseded:
             // If another coordinator is active, storing the new token fails and ends this one.
@@ -102,6 +103,10 @@
             m_isDirty = true;
             ++m_revision;
             break;
+        case order_result::Deferred:
+            range.heldUntil = range.heldBeforeCall;
+            range.nextCall = now + m_settings.deferral;
+            break;
         case order_result::NotSent:
             range.heldUntil = range.heldBeforeCall;
             range.nextCall = now + m_settings.retryInterval;
--- a/src/keyspace/internal/keyload.cpp
+++ b/src/keyspace/internal/keyload.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Time constants of the two rates, in seconds.
-constexpr double RECENT_SECONDS = 0.8;
-constexpr double STEADY_SECONDS = 8.0;
 /// Rates below this are set to zero, to keep clear of denormal numbers.
 constexpr float NEGLIGIBLE = 1e-4F;
 
@@ -40,12 +37,12 @@
     const bool isFirst = m_lastDecay == instant{};
     m_lastDecay = now;
     if (!isFirst) {
-        decayAll(m_recent, static_cast<float>(std::exp(-elapsed / RECENT_SECONDS)));
-        decayAll(m_steady, static_cast<float>(std::exp(-elapsed / STEADY_SECONDS)));
+        decayAll(m_recent, static_cast<float>(std::exp(-elapsed / key_load::RECENT_SECONDS)));
+        decayAll(m_steady, static_cast<float>(std::exp(-elapsed / key_load::STEADY_SECONDS)));
     }
     for (const auto &[key, count] : m_new) {
-        m_recent[key] += count / static_cast<float>(RECENT_SECONDS);
-        m_steady[key] += count / static_cast<float>(STEADY_SECONDS);
+        m_recent[key] += count / static_cast<float>(key_load::RECENT_SECONDS);
+        m_steady[key] += count / static_cast<float>(key_load::STEADY_SECONDS);
     }
     m_new.clear();
 }
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -1,6 +1,7 @@
 #include "clementinebeam/keyspace/rangeplanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -19,6 +20,11 @@
 /// A hot spell has to stand out of the steady load by this factor and this many requests a second.
 constexpr double HOT_RATIO = 1.3;
 constexpr double HOT_EXCESS = 5.0;
+/// Hot keys lie close to one another; wider windows are left to the steady load.
+constexpr std::size_t MAX_HOT_WIDTH = 256;
+constexpr int MAX_HALVINGS = 4;
+/// Standard deviations by which a load has to stand out of its noise.
+constexpr double SIGNIFICANCE = 2.5;
 /// A move has to lower the load of the fuller of both targets to this share at least.
 constexpr double USEFUL_SHARE = 0.95;
 
@@ -145,6 +151,20 @@
     return measured(*best, load);
 }
 
+/// Picks what to move: in a hot spell a narrow window, even if it carries only part of the excess.
+std::optional<window> windowFor(const holder_load &full, double amount,
+                                const std::vector<range_assignment> &ranges, const key_load &load)
+{
+    auto found = bestWindow(full.holder->id, full.isHot(), amount, ranges, load);
+    for (int halving = 0; full.isHot() && halving < MAX_HALVINGS; ++halving) {
+        if (found && found->keys.size() <= MAX_HOT_WIDTH)
+            break;
+        amount /= 2.0;
+        found = bestWindow(full.holder->id, true, amount, ranges, load);
+    }
+    return found;
+}
+
 void shift(holder_load &from, holder_load &to, const window &item)
 {
     from.recent -= item.recent;
@@ -181,9 +201,19 @@
     ranges = std::move(result);
 }
 
+/// @return the standard deviation of a measured rate of independent requests.
+double noiseOf(const holder_load &item)
+{
+    const double window = item.isHot() ? key_load::RECENT_SECONDS : key_load::STEADY_SECONDS;
+    return std::sqrt(std::max(0.0, item.load()) / (2.0 * window));
+}
+
 bool isUneven(const holder_load &full, double mean)
 {
     const double utilisation = full.utilisation();
+    const double excess = full.load() - mean * full.holder->capacity;
+    if (excess < SIGNIFICANCE * noiseOf(full))
+        return false;
     if (utilisation > HIGH_UTILISATION && utilisation > mean * 1.1)
         return true;
     return utilisation > HARMLESS_UTILISATION && utilisation > mean * UNEVEN_RATIO;
@@ -207,7 +237,7 @@
             std::min(hasNewcomer ? std::max(excess, full->load() / 2) : excess, headroom);
     if (amount <= 0.0)
         return std::nullopt;
-    const auto found = bestWindow(full->holder->id, full->isHot(), amount, ranges, load);
+    const auto found = windowFor(*full, amount, ranges, load);
     if (!found)
         return std::nullopt;
     const double before = full->utilisation();
--- /dev/null
+++ b/tests/unit/dispatchtest.cpp
@@ -0,0 +1,379 @@
+#define BOOST_TEST_MODULE dispatch
+#include "clementinebeam/dispatch/servicedispatcher.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <queue>
+#include <random>
+#include <set>
+
+using namespace clementinebeam;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+const instant START{std::chrono::seconds(100)};
+
+/// Owners of keys that a test sets by hand.
+class fixed_owners : public i_key_directory
+{
+public:
+    target_id ownerOf(key_number key) const override
+    {
+        const auto found = owners.find(key);
+        return found == owners.end() ? target_id{} : found->second;
+    }
+
+    instant expectedOwnerAt(key_number) const override { return expected; }
+
+    std::map<key_number, target_id> owners;
+    instant expected{};
+};
+
+dispatch_request requestAt(request_token token, instant now, milliseconds objective,
+                           milliseconds deadline, int priority = 0)
+{
+    dispatch_request request;
+    request.token = token;
+    request.arrival = now;
+    request.objective = now + objective;
+    request.deadline = now + deadline;
+    request.priority = priority;
+    request.dataCentre = "a";
+    return request;
+}
+
+std::vector<dispatch_target> targetsOf(int count, const std::string &dataCentre = "a")
+{
+    std::vector<dispatch_target> targets;
+    for (int index = 0; index < count; ++index)
+        targets.push_back({"t" + std::to_string(index), dataCentre, 2, false, milliseconds(0)});
+    return targets;
+}
+
+/// How a replayed load went.
+struct replay_result {
+    std::map<int, int> asked;  ///< By priority.
+    std::map<int, int> onTime; ///< By priority.
+    int late = 0;
+    int rejected = 0;
+    int heldAndRejected = 0; ///< Rejected after more than an eighth of the objective.
+    std::size_t mostAtOneTarget = 0;
+    std::map<target_id, int> sentTo;
+
+    int onTimeTotal() const
+    {
+        int sum = 0;
+        for (const auto &[priority, count] : onTime)
+            sum += count;
+        return sum;
+    }
+};
+
+/// A load to replay: arrivals by rate, targets with their service times and faults.
+struct load_pattern {
+    int targets = 8;
+    double perSecond = 100.0;
+    double burstFactor = 1.0; ///< From second 2 to 5.
+    milliseconds objective{400};
+    milliseconds deadline{1500};
+    milliseconds meanService{100};
+    std::vector<int> priorities{0};
+    target_id rejecting; ///< Rejects each request after a millisecond.
+    target_id silent;    ///< Never answers.
+};
+
+/// Runs a load through a dispatcher with a fixed seed.
+replay_result replay(const load_pattern &pattern, const dispatch_settings &settings)
+{
+    struct ending {
+        instant at;
+        run_report report;
+        bool operator<(const ending &other) const { return at > other.at; }
+    };
+    service_dispatcher dispatcher(settings, nullptr);
+    dispatcher.setTargets(targetsOf(pattern.targets), START);
+    std::mt19937 random(7);
+    std::priority_queue<ending> endings;
+    std::map<request_token, dispatch_request> requests;
+    std::map<target_id, std::size_t> running;
+    replay_result result;
+    const auto take = [&](const dispatch_decisions &decisions, instant now) {
+        for (const auto &decision : decisions) {
+            const auto &request = requests.at(decision.token);
+            if (decision.target.empty()) {
+                ++result.rejected;
+                const auto held = now - request.arrival;
+                if (held > pattern.objective / 8)
+                    ++result.heldAndRejected;
+                BOOST_CHECK(decision.retryAfter <= (request.deadline - now) / 3
+                            || decision.retryAfter <= milliseconds(20));
+                continue;
+            }
+            ++result.sentTo[decision.target];
+            result.mostAtOneTarget = std::max(result.mostAtOneTarget, ++running[decision.target]);
+            std::gamma_distribution<double> service(
+                    8.0, static_cast<double>(pattern.meanService.count()) / 8.0);
+            auto time = microseconds(static_cast<std::int64_t>(service(random) * 1000.0));
+            auto outcome = run_result::Answered;
+            if (decision.target == pattern.rejecting) {
+                time = milliseconds(1);
+                outcome = run_result::NotExecuted;
+            } else if (decision.target == pattern.silent) {
+                time = request.deadline - now;
+                outcome = run_result::TimedOut;
+            }
+            endings.push({now + time, {decision.token, outcome, time, std::nullopt}});
+        }
+    };
+    const auto stop = START + std::chrono::seconds(8);
+    instant nextArrival = START;
+    request_token token = 0;
+    while (nextArrival < stop || !endings.empty()) {
+        const auto now = endings.empty() ? nextArrival : std::min(nextArrival, endings.top().at);
+        dispatch_decisions decisions;
+        dispatcher.advance(now, decisions);
+        if (!endings.empty() && endings.top().at == now) {
+            const auto report = endings.top().report;
+            endings.pop();
+            const auto *placed = dispatcher.placed(report.token);
+            if (placed)
+                --running[placed->target];
+            const auto &request = requests.at(report.token);
+            if (report.result == run_result::Answered) {
+                if (now <= request.objective)
+                    ++result.onTime[request.priority];
+                else
+                    ++result.late;
+            }
+            dispatcher.complete(report, now, decisions);
+        } else {
+            const int priority = pattern.priorities[token % pattern.priorities.size()];
+            auto request = requestAt(++token, now, pattern.objective, pattern.deadline, priority);
+            ++result.asked[priority];
+            requests.emplace(token, request);
+            dispatcher.enqueue(request, now, decisions);
+            const bool isBurst =
+                    now > START + std::chrono::seconds(2) && now < START + std::chrono::seconds(5);
+            std::exponential_distribution<double> gap(pattern.perSecond
+                                                      * (isBurst ? pattern.burstFactor : 1.0));
+            nextArrival = now + microseconds(static_cast<std::int64_t>(gap(random) * 1e6));
+            if (nextArrival >= stop)
+                nextArrival = instant::max();
+        }
+        take(decisions, now);
+        if (nextArrival == instant::max() && endings.empty())
+            break;
+    }
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(calm_load_is_served_in_time)
+{
+    // 8 targets of 2 slots and 100 ms serve 160 requests a second.
+    load_pattern pattern;
+    pattern.perSecond = 90.0;
+    const auto result = replay(pattern, {});
+    BOOST_CHECK_EQUAL(result.rejected, 0);
+    BOOST_CHECK_GT(result.onTimeTotal(), result.asked.at(0) * 99 / 100);
+}
+
+BOOST_AUTO_TEST_CASE(burst_beyond_the_capacity_does_not_make_all_answers_late)
+{
+    load_pattern pattern;
+    pattern.perSecond = 110.0;
+    pattern.burstFactor = 2.2;
+    const auto result = replay(pattern, {});
+    // Eight seconds of the full capacity, less what arrived outside of the burst.
+    const int possible = static_cast<int>(110 * 5 + 160 * 3);
+    BOOST_CHECK_GT(result.onTimeTotal(), possible * 85 / 100);
+    BOOST_CHECK_LT(result.late, result.onTimeTotal() / 4);
+}
+
+BOOST_AUTO_TEST_CASE(target_gets_no_more_than_its_slots_and_the_lookahead)
+{
+    load_pattern pattern;
+    pattern.perSecond = 400.0;
+    BOOST_CHECK_LE(replay(pattern, {}).mostAtOneTarget, 3U);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_requests_are_served_first_under_overload)
+{
+    load_pattern pattern;
+    pattern.perSecond = 260.0;
+    pattern.priorities = {0, 2};
+    const auto result = replay(pattern, {});
+    const double urgent = static_cast<double>(result.onTime.at(0)) / result.asked.at(0);
+    const double other = static_cast<double>(result.onTime.at(2)) / result.asked.at(2);
+    BOOST_CHECK_GT(urgent, 0.95);
+    BOOST_CHECK_GT(urgent, other);
+}
+
+BOOST_AUTO_TEST_CASE(target_that_rejects_at_once_does_not_attract_requests)
+{
+    load_pattern pattern;
+    pattern.perSecond = 90.0;
+    pattern.rejecting = "t3";
+    const auto result = replay(pattern, {});
+    int most = 0;
+    for (const auto &[target, count] : result.sentTo)
+        most = std::max(most, target == pattern.rejecting ? 0 : count);
+    BOOST_CHECK_LT(result.sentTo.at(pattern.rejecting), most / 4);
+}
+
+BOOST_AUTO_TEST_CASE(silent_target_holds_few_requests)
+{
+    load_pattern pattern;
+    pattern.perSecond = 90.0;
+    pattern.silent = "t0";
+    // At most its slots and lookahead at first, then one at a time between suspensions.
+    BOOST_CHECK_LE(replay(pattern, {}).sentTo.at(pattern.silent), 3 + 8);
+}
+
+BOOST_AUTO_TEST_CASE(own_data_centre_is_preferred_while_it_has_room)
+{
+    service_dispatcher dispatcher({}, nullptr);
+    auto targets = targetsOf(1, "b");
+    targets.push_back({"near", "a", 1, false, milliseconds(0)});
+    dispatcher.setTargets(targets, START);
+    dispatch_decisions decisions;
+    dispatcher.enqueue(requestAt(1, START, milliseconds(400), milliseconds(1500)), START,
+                       decisions);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK_EQUAL(decisions[0].target, "near");
+}
+
+BOOST_AUTO_TEST_CASE(second_sends_stay_within_their_budget)
+{
+    dispatch_settings settings;
+    settings.retryShare = 0.2;
+    settings.retryCapacity = 3.0;
+    service_dispatcher dispatcher(settings, nullptr);
+    dispatcher.setTargets(targetsOf(20), START);
+    int placed = 0;
+    for (request_token token = 1; token <= 30; ++token) {
+        auto request = requestAt(token, START, milliseconds(400), milliseconds(1500));
+        request.isRetry = true;
+        dispatch_decisions decisions;
+        dispatcher.enqueue(request, START, decisions);
+        placed += decisions.at(0).target.empty() ? 0 : 1;
+    }
+    BOOST_CHECK_EQUAL(placed, 3);
+}
+
+BOOST_AUTO_TEST_CASE(known_token_is_not_placed_twice)
+{
+    service_dispatcher dispatcher({}, nullptr);
+    dispatcher.setTargets(targetsOf(2), START);
+    dispatch_decisions decisions;
+    const auto request = requestAt(1, START, milliseconds(400), milliseconds(1500));
+    dispatcher.enqueue(request, START, decisions);
+    dispatcher.enqueue(request, START, decisions);
+    BOOST_CHECK_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK_EQUAL(dispatcher.runningCount(), 1U);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_owner_gets_a_request_for_a_key)
+{
+    fixed_owners owners;
+    owners.owners[5] = "t1";
+    service_dispatcher dispatcher({}, &owners);
+    dispatcher.setTargets(targetsOf(3), START);
+    auto request = requestAt(1, START, milliseconds(400), milliseconds(1500));
+    request.key = 5;
+    dispatch_decisions decisions;
+    dispatcher.enqueue(request, START, decisions);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK_EQUAL(decisions[0].target, "t1");
+}
+
+BOOST_AUTO_TEST_CASE(key_that_is_served_again_soon_lets_its_requests_wait)
+{
+    fixed_owners owners;
+    owners.expected = START + milliseconds(100);
+    service_dispatcher dispatcher({}, &owners);
+    dispatcher.setTargets(targetsOf(3), START);
+    auto request = requestAt(1, START, milliseconds(400), milliseconds(1500));
+    request.key = 5;
+    dispatch_decisions decisions;
+    dispatcher.enqueue(request, START, decisions);
+    BOOST_CHECK(decisions.empty());
+    owners.owners[5] = "t2";
+    dispatcher.advance(START + milliseconds(90), decisions);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK_EQUAL(decisions[0].target, "t2");
+}
+
+BOOST_AUTO_TEST_CASE(key_that_is_not_served_in_time_has_its_requests_rejected_at_once)
+{
+    fixed_owners owners;
+    owners.expected = START + std::chrono::seconds(4);
+    service_dispatcher dispatcher({}, &owners);
+    dispatcher.setTargets(targetsOf(3), START);
+    auto request = requestAt(1, START, milliseconds(400), milliseconds(1500));
+    request.key = 5;
+    dispatch_decisions decisions;
+    dispatcher.enqueue(request, START, decisions);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK(decisions[0].target.empty());
+    BOOST_CHECK(decisions[0].reason == error_kind::Overloaded);
+}
+
+// A leaving owner got requests for as long as nothing else changed (dispensa-gw, trouble-1).
+BOOST_AUTO_TEST_CASE(leaving_owner_gets_no_request_after_its_time)
+{
+    fixed_owners owners;
+    owners.owners[5] = "t0";
+    service_dispatcher dispatcher({}, &owners);
+    auto targets = targetsOf(1);
+    targets[0].isDraining = true;
+    targets[0].ownerUntil = START + milliseconds(600);
+    dispatcher.setTargets(targets, START);
+    auto request = requestAt(1, START, milliseconds(400), milliseconds(1500));
+    request.key = 5;
+    dispatch_decisions decisions;
+    dispatcher.enqueue(request, START, decisions);
+    BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+    BOOST_CHECK_EQUAL(decisions[0].target, "t0");
+    decisions.clear();
+    const auto later = START + milliseconds(700);
+    auto second = requestAt(2, later, milliseconds(400), milliseconds(1500));
+    second.key = 5;
+    dispatcher.enqueue(second, later, decisions);
+    dispatcher.advance(later + milliseconds(1400), decisions);
+    for (const auto &decision : decisions)
+        BOOST_CHECK(decision.target.empty());
+}
+
+BOOST_AUTO_TEST_CASE(place_without_a_report_is_freed_after_the_deadline)
+{
+    service_dispatcher dispatcher({}, nullptr);
+    dispatcher.setTargets(targetsOf(1), START);
+    dispatch_decisions decisions;
+    dispatcher.enqueue(requestAt(1, START, milliseconds(400), milliseconds(500)), START, decisions);
+    BOOST_CHECK_EQUAL(dispatcher.runningCount(), 1U);
+    const auto due = dispatcher.nextDeadline(START);
+    BOOST_CHECK(due <= START + std::chrono::seconds(1));
+    dispatcher.advance(due + milliseconds(1), decisions);
+    BOOST_CHECK_EQUAL(dispatcher.runningCount(), 0U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_that_return_are_spread)
+{
+    admission_input input{START,
+                          START,
+                          START + milliseconds(400),
+                          START + milliseconds(1500),
+                          milliseconds(300),
+                          milliseconds(100)};
+    std::set<std::int64_t> delays;
+    for (request_token token = 0; token < 64; ++token) {
+        const auto delay = admission_policy::retryAfter(input, token);
+        BOOST_CHECK(delay <= milliseconds(500));
+        delays.insert(delay.count());
+    }
+    BOOST_CHECK_GT(delays.size(), 20U);
+}
--- /dev/null
+++ b/tests/unit/keyspacetest.cpp
@@ -0,0 +1,365 @@
+#define BOOST_TEST_MODULE keyspace
+#include "clementinebeam/keyspace/keycoordinator.h"
+#include "clementinebeam/keyspace/keymap.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace clementinebeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const instant START{seconds(100)};
+const coordinator_settings SETTINGS;
+
+key_holder holderOf(const target_id &id, std::uint64_t incarnation = 1)
+{
+    return {id, incarnation, 20.0, false};
+}
+
+/// A coordinator with targets that do as they are told.
+class obedient_system
+{
+public:
+    explicit obedient_system(ownership_record record = {}, instant now = START)
+        : m_now(now)
+        , m_coordinator(SETTINGS, std::move(record), now, now)
+    { }
+
+    key_coordinator &coordinator() { return m_coordinator; }
+    instant now() const { return m_now; }
+
+    void setHolders(std::vector<key_holder> holders) { m_coordinator.setHolders(holders); }
+
+    /// Lets time pass; all orders are carried out at once.
+    void run(milliseconds time)
+    {
+        const auto end = m_now + time;
+        while (m_now < end) {
+            m_now += milliseconds(50);
+            m_coordinator.confirmRight(m_now);
+            carryOut(m_coordinator.advance(m_now));
+        }
+    }
+
+    void carryOut(const coordinator_actions &actions)
+    {
+        if (actions.wantsStore)
+            m_coordinator.onStored(m_coordinator.record().nextFence);
+        for (const auto &order : actions.releases) {
+            releases.push_back(order);
+            m_coordinator.onReleaseResult(order, order_result::Accepted, "state", m_now);
+        }
+        for (const auto &order : actions.grants) {
+            const bool isUnreachable = unreachable.contains(order.target);
+            grants.push_back(order);
+            m_coordinator.onGrantResult(
+                    order, isUnreachable ? order_result::NotSent : order_result::Accepted, m_now);
+        }
+    }
+
+    std::vector<grant_order> grants;
+    std::vector<release_order> releases;
+    std::set<target_id> unreachable;
+
+private:
+    instant m_now;
+    key_coordinator m_coordinator;
+};
+
+std::size_t servedKeys(const key_coordinator &coordinator, instant now)
+{
+    std::size_t count = 0;
+    for (const auto &range : coordinator.served(now))
+        count += range.keys.size();
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_keys_are_spread_over_the_targets)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a"), holderOf("b"), holderOf("c")});
+    system.run(seconds(1));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+    std::map<target_id, std::size_t> keys;
+    for (const auto &range : system.coordinator().served(system.now()))
+        keys[range.target] += range.keys.size();
+    BOOST_CHECK_EQUAL(keys.size(), 3U);
+    for (const auto &[target, count] : keys)
+        BOOST_CHECK_GT(count, KEY_COUNT / 4);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_granted_before_it_is_stored)
+{
+    key_coordinator coordinator(SETTINGS, {}, START, START);
+    coordinator.setHolders({holderOf("a")});
+    const auto actions = coordinator.advance(START);
+    BOOST_CHECK(actions.wantsStore);
+    BOOST_CHECK(actions.grants.empty());
+    coordinator.onStored(coordinator.record().nextFence);
+    BOOST_CHECK_EQUAL(coordinator.advance(START + milliseconds(10)).grants.size(), 1U);
+}
+
+BOOST_AUTO_TEST_CASE(renewals_go_on_in_time)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a")});
+    for (int round = 0; round < 40; ++round) {
+        system.run(milliseconds(250));
+        if (round > 1)
+            BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(coordinator_without_proof_of_its_right_orders_nothing)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a")});
+    system.run(seconds(1));
+    const auto late = system.now() + SETTINGS.rightDuration;
+    const auto actions = system.coordinator().advance(late);
+    BOOST_CHECK(actions.grants.empty() && actions.releases.empty() && !actions.wantsStore);
+}
+
+BOOST_AUTO_TEST_CASE(no_hold_outlasts_the_right)
+{
+    key_coordinator coordinator(SETTINGS, {}, START, START);
+    coordinator.setHolders({holderOf("a")});
+    coordinator.setStoreReachable(true);
+    coordinator.advance(START);
+    coordinator.onStored(coordinator.record().nextFence);
+    const auto now = START + SETTINGS.rightDuration - milliseconds(700);
+    const auto actions = coordinator.advance(now);
+    BOOST_REQUIRE_EQUAL(actions.grants.size(), 1U);
+    BOOST_CHECK(now + actions.grants[0].hold <= START + SETTINGS.rightDuration);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_target_gives_its_keys_back_and_hands_over)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a"), holderOf("b")});
+    system.run(seconds(1));
+    auto leaving = holderOf("a");
+    leaving.isLeaving = true;
+    system.grants.clear();
+    system.setHolders({leaving, holderOf("b")});
+    system.run(milliseconds(500));
+    BOOST_CHECK(!system.releases.empty());
+    bool hasHandover = false;
+    for (const auto &order : system.grants) {
+        BOOST_CHECK_EQUAL(order.target, "b");
+        hasHandover = hasHandover || order.handover == "state";
+    }
+    BOOST_CHECK(hasHandover);
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+}
+
+BOOST_AUTO_TEST_CASE(fences_rise_with_each_change_of_owner)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a")});
+    system.run(seconds(1));
+    const auto before = system.coordinator().served(system.now()).at(0).fence;
+    auto leaving = holderOf("a");
+    leaving.isLeaving = true;
+    system.setHolders({leaving, holderOf("b")});
+    system.run(seconds(1));
+    for (const auto &range : system.coordinator().served(system.now()))
+        BOOST_CHECK_GT(range.fence, before);
+}
+
+BOOST_AUTO_TEST_CASE(keys_of_an_unreachable_target_wait_for_its_hold_and_move)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a"), holderOf("b")});
+    system.run(seconds(1));
+    system.unreachable.insert("a");
+    system.grants.clear();
+    system.run(SETTINGS.hold - SETTINGS.renewInterval - milliseconds(200));
+    for (const auto &order : system.grants) {
+        if (order.target == "b")
+            BOOST_CHECK_LE(order.keys.size(), KEY_COUNT / 2);
+    }
+    system.run(seconds(2));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+    for (const auto &range : system.coordinator().served(system.now()))
+        BOOST_CHECK_EQUAL(range.target, "b");
+}
+
+BOOST_AUTO_TEST_CASE(grant_without_an_answer_is_waited_for_after_the_release)
+{
+    key_coordinator coordinator(SETTINGS, {}, START, START);
+    coordinator.setHolders({holderOf("a")});
+    coordinator.advance(START);
+    coordinator.onStored(coordinator.record().nextFence);
+    auto now = START + milliseconds(50);
+    auto order = coordinator.advance(now).grants.at(0);
+    coordinator.onGrantResult(order, order_result::Accepted, now);
+    now += SETTINGS.renewInterval;
+    order = coordinator.advance(now).grants.at(0);
+    coordinator.onGrantResult(order, order_result::Unanswered, now);
+    const auto unanswered = now;
+    auto leaving = holderOf("a");
+    leaving.isLeaving = true;
+    coordinator.setHolders({leaving, holderOf("b")});
+    const auto release = coordinator.advance(now).releases.at(0);
+    coordinator.onReleaseResult(release, order_result::Accepted, "state", now);
+    while (now < unanswered + order.hold) {
+        coordinator.confirmRight(now);
+        BOOST_CHECK(!coordinator.advance(now).wantsStore);
+        now += milliseconds(100);
+    }
+    now += milliseconds(400);
+    BOOST_CHECK(coordinator.advance(now).wantsStore);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_target_is_granted_with_a_higher_fence)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a", 1)});
+    system.run(seconds(1));
+    const auto before = system.coordinator().served(system.now()).at(0).fence;
+    system.setHolders({holderOf("a", 2)});
+    system.run(milliseconds(300));
+    const auto served = system.coordinator().served(system.now());
+    BOOST_REQUIRE(!served.empty());
+    BOOST_CHECK_GT(served[0].fence, before);
+    BOOST_CHECK_EQUAL(served[0].incarnation, 2U);
+}
+
+BOOST_AUTO_TEST_CASE(successor_waits_for_holds_of_a_target_that_it_cannot_reach)
+{
+    ownership_record record;
+    record.term = 2;
+    record.nextFence = 9;
+    record.ranges = {{{0, LAST_KEY}, "a", 1, 8, 2}};
+    obedient_system system(record);
+    system.unreachable.insert("a");
+    system.setHolders({holderOf("a"), holderOf("b")});
+    system.run(SETTINGS.rightDuration - milliseconds(100));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), 0U);
+    system.run(seconds(2));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+}
+
+BOOST_AUTO_TEST_CASE(successor_counts_holds_of_a_gone_target_from_the_end_of_the_term_that_granted)
+{
+    ownership_record record;
+    record.term = 4;
+    record.nextFence = 9;
+    record.ranges = {{{0, LAST_KEY}, "gone", 1, 8, 2}};
+    // Term 2 was seen to end nine seconds ago.
+    const succession succeeded{{2, START - seconds(9)}};
+    key_coordinator coordinator(SETTINGS, record, START, START, succeeded);
+    coordinator.setHolders({holderOf("b")});
+    auto now = START;
+    instant storedAt{};
+    while (now < START + seconds(4) && storedAt == instant{}) {
+        coordinator.confirmRight(now);
+        const auto actions = coordinator.advance(now);
+        for (const auto &order : actions.releases)
+            coordinator.onReleaseResult(order, order_result::NotSent, {}, now);
+        if (actions.wantsStore)
+            storedAt = now;
+        now += milliseconds(50);
+    }
+    BOOST_CHECK(storedAt > START - seconds(9) + SETTINGS.rightDuration);
+    BOOST_CHECK(storedAt < START + seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_target_of_an_earlier_coordinator_is_fenced_before_its_keys_move)
+{
+    ownership_record record;
+    record.term = 4;
+    record.nextFence = 9;
+    record.ranges = {{{0, LAST_KEY}, "a", 1, 8, 2}};
+    obedient_system system(record);
+    auto leaving = holderOf("a");
+    leaving.isLeaving = true;
+    system.setHolders({leaving, holderOf("b")});
+    system.run(seconds(1));
+    // The first release shows that the target is reachable; a grant with a new token follows, and
+    // only then the release that counts.
+    BOOST_CHECK_GE(system.releases.size(), 2U);
+    BOOST_REQUIRE(!system.grants.empty());
+    BOOST_CHECK_EQUAL(system.grants.front().target, "a");
+    BOOST_CHECK_GT(system.grants.front().fence, 8U);
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+}
+
+BOOST_AUTO_TEST_CASE(hot_keys_are_split_off_and_spread)
+{
+    obedient_system system;
+    std::vector<key_holder> holders;
+    for (int index = 0; index < 6; ++index)
+        holders.push_back(holderOf("t" + std::to_string(index)));
+    system.setHolders(holders);
+    system.run(seconds(1));
+    std::size_t moved = 0;
+    for (int step = 0; step < 40; ++step) {
+        // 60 requests a second for 40 neighbouring keys; a target can run 20.
+        for (int request = 0; request < 3; ++request)
+            system.coordinator().noteRequest(
+                    static_cast<key_number>(1000 + (step * 7 + request * 13) % 40));
+        system.run(milliseconds(50));
+    }
+    std::map<target_id, std::size_t> hotKeys;
+    for (const auto &range : system.coordinator().served(system.now())) {
+        for (key_number key = 1000; key < 1040; ++key)
+            hotKeys[range.target] += range.keys.contains(key) ? 1 : 0;
+    }
+    std::size_t owners = 0;
+    for (const auto &[target, count] : hotKeys)
+        owners += count > 0 ? 1 : 0;
+    for (const auto &order : system.releases)
+        moved += order.keys.size();
+    BOOST_CHECK_GE(owners, 4U);
+    BOOST_CHECK_LT(moved, KEY_COUNT / 20);
+}
+
+BOOST_AUTO_TEST_CASE(even_load_moves_nothing)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a"), holderOf("b"), holderOf("c")});
+    system.run(seconds(1));
+    for (int step = 0; step < 200; ++step) {
+        for (int request = 0; request < 2; ++request)
+            system.coordinator().noteRequest(
+                    static_cast<key_number>((step * 7919 + request * 30011) % KEY_COUNT));
+        system.run(milliseconds(50));
+    }
+    BOOST_CHECK_EQUAL(system.coordinator().moveCount(), 0U);
+}
+
+BOOST_AUTO_TEST_CASE(new_target_gets_keys)
+{
+    obedient_system system;
+    system.setHolders({holderOf("a"), holderOf("b")});
+    system.run(seconds(1));
+    system.setHolders({holderOf("a"), holderOf("b"), holderOf("c")});
+    for (int step = 0; step < 40; ++step) {
+        system.coordinator().noteRequest(static_cast<key_number>(step * 1511 % KEY_COUNT));
+        system.run(milliseconds(50));
+    }
+    bool hasKeys = false;
+    for (const auto &range : system.coordinator().served(system.now()))
+        hasKeys = hasKeys || range.target == "c";
+    BOOST_CHECK(hasKeys);
+}
+
+BOOST_AUTO_TEST_CASE(key_map_finds_owners_and_gaps)
+{
+    key_map map;
+    map.assign({{{0, 9}, "a", 1, 1, 1}, {{20, 29}, "b", 1, 1, 1}}, {{{10, 19}, START}});
+    BOOST_CHECK_EQUAL(map.ownerOf(0), "a");
+    BOOST_CHECK_EQUAL(map.ownerOf(9), "a");
+    BOOST_CHECK_EQUAL(map.ownerOf(10), "");
+    BOOST_CHECK_EQUAL(map.ownerOf(29), "b");
+    BOOST_CHECK_EQUAL(map.ownerOf(30), "");
+    BOOST_CHECK(map.expectedOwnerAt(15) == START);
+    BOOST_CHECK(map.expectedOwnerAt(30) == instant{});
+}
