--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -88,9 +88,14 @@
         dispatch_decision decision;
     };
 
+    struct waiting_request {
+        dispatch_request request;
+        target_state *owner = nullptr; ///< Of the request's key; null if there is none.
+    };
+
     /// A waiting request that may be next.
     struct candidate {
-        const dispatch_request *request;
+        const waiting_request *item;
         bool isLate; ///< It can't meet its objective any more.
     };
 
@@ -101,31 +106,34 @@
     std::uint32_t occupied(const target_state &state, instant now) const;
     std::uint32_t capacityOf(const target_state &state) const;
     std::chrono::microseconds expectedTime(const target_state &state, instant now) const;
-    target_state *choose(const dispatch_request &request, instant now);
-    target_state *chooseOwner(const dispatch_request &request, instant now);
+    target_state *choose(const waiting_request &item, instant now);
     bool hasRoom(const target_state &state, instant now) const;
-    std::chrono::microseconds expectedWait(const dispatch_request &request, instant now) const;
-    std::chrono::microseconds ownerWait(const dispatch_request &request, instant now) const;
-    std::chrono::microseconds typicalServiceTime(const dispatch_request &request) const;
-    std::size_t waitingAhead(const dispatch_request &request, const target_id &owner) const;
+    std::chrono::microseconds expectedWait(const waiting_request &item, instant now) const;
+    std::chrono::microseconds ownerWait(const waiting_request &item, instant now) const;
+    std::chrono::microseconds typicalServiceTime(const waiting_request &item) const;
+    std::size_t waitingAhead(const dispatch_request &request, const target_state *owner) const;
+    target_state *ownerOf(const dispatch_request &request);
+    void resolveOwners();
+    bool isKeyed(const dispatch_request &request) const { return m_owners && request.key; }
+    bool mayTake(const target_state &owner, instant now) const;
     static bool goesFirst(const candidate &left, const candidate &right);
     void place(const dispatch_request &request, target_state &state, instant now,
                dispatch_decisions &decisions);
-    void reject(const dispatch_request &request, error_kind reason, instant now,
+    void reject(const waiting_request &item, error_kind reason, instant now,
                 dispatch_decisions &decisions);
     void rejectHopeless(instant now, dispatch_decisions &decisions);
     void placeWaiting(instant now, dispatch_decisions &decisions);
     void freeOverdue(instant now);
     void release(const run_report &report, instant now);
     void updateSharedServiceTime();
-    admission_input inputFor(const dispatch_request &request, instant now) const;
+    admission_input inputFor(const waiting_request &item, instant now) const;
 
     dispatch_settings m_settings;
     const i_key_directory *m_owners;
     retry_budget m_retries;
     target_map m_targets;
     std::chrono::microseconds m_sharedServiceTime; ///< Mean over the targets that take requests.
-    std::unordered_map<request_token, dispatch_request> m_waiting;
+    std::unordered_map<request_token, waiting_request> m_waiting;
     std::unordered_map<request_token, running_request> m_running;
 };
 
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -49,6 +49,7 @@
     std::erase_if(m_targets, [](const auto &entry) {
         return !entry.second.isListed && entry.second.running.empty();
     });
+    resolveOwners();
     updateSharedServiceTime();
 }
 
@@ -103,24 +104,35 @@
     return now < state.coldUntil ? time * COLD_FACTOR : time;
 }
 
-service_dispatcher::target_state *service_dispatcher::chooseOwner(const dispatch_request &request,
-                                                                  instant now)
+service_dispatcher::target_state *service_dispatcher::ownerOf(const dispatch_request &request)
 {
-    const auto found = m_targets.find(m_owners->ownerOf(*request.key));
-    if (found == m_targets.end())
+    if (!isKeyed(request))
         return nullptr;
-    auto &state = found->second;
+    const auto found = m_targets.find(m_owners->ownerOf(*request.key));
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void service_dispatcher::resolveOwners()
+{
+    if (!m_owners)
+        return;
+    for (auto &[token, item] : m_waiting)
+        item.owner = ownerOf(item.request);
+}
+
+bool service_dispatcher::mayTake(const target_state &owner, instant now) const
+{
     // The owner may be leaving; nobody else can run the request until the key has moved.
-    const bool isUsableOwner =
-            state.isListed && !state.estimate.isSuspended(now) && now < state.target.ownerUntil;
-    return isUsableOwner && hasRoom(state, now) ? &state : nullptr;
+    return owner.isListed && !owner.estimate.isSuspended(now) && now < owner.target.ownerUntil
+            && hasRoom(owner, now);
 }
 
-service_dispatcher::target_state *service_dispatcher::choose(const dispatch_request &request,
+service_dispatcher::target_state *service_dispatcher::choose(const waiting_request &item,
                                                              instant now)
 {
-    if (m_owners && request.key)
-        return chooseOwner(request, now);
+    const auto &request = item.request;
+    if (isKeyed(request))
+        return item.owner && mayTake(*item.owner, now) ? item.owner : nullptr;
     target_state *best = nullptr;
     microseconds bestTime = microseconds::max();
     for (auto &[id, state] : m_targets) {
@@ -144,11 +156,11 @@
     return best;
 }
 
-microseconds service_dispatcher::typicalServiceTime(const dispatch_request &request) const
+microseconds service_dispatcher::typicalServiceTime(const waiting_request &item) const
 {
-    if (m_owners && request.key)
-        return serviceTimeOf(m_owners->ownerOf(*request.key));
-    return m_sharedServiceTime;
+    if (!isKeyed(item.request))
+        return m_sharedServiceTime;
+    return item.owner ? item.owner->estimate.serviceTime() : m_settings.initialServiceTime;
 }
 
 microseconds service_dispatcher::serviceTimeOf(const target_id &target) const
@@ -159,40 +171,33 @@
 }
 
 std::size_t service_dispatcher::waitingAhead(const dispatch_request &request,
-                                             const target_id &owner) const
+                                             const target_state *owner) const
 {
     std::size_t count = 0;
     for (const auto &[token, other] : m_waiting) {
-        if (other.priority > request.priority || token == request.token)
-            continue;
-        if (!owner.empty() && (!other.key || m_owners->ownerOf(*other.key) != owner))
-            continue;
-        ++count;
+        const bool goesBefore = other.request.priority <= request.priority && token != request.token
+                && (!owner || other.owner == owner);
+        count += goesBefore ? 1 : 0;
     }
     return count;
 }
 
-microseconds service_dispatcher::ownerWait(const dispatch_request &request, instant now) const
+microseconds service_dispatcher::ownerWait(const waiting_request &item, instant now) const
 {
-    const auto owner = m_owners->ownerOf(*request.key);
-    const auto found = m_targets.find(owner);
-    if (owner.empty())
-        return std::max(microseconds(0), m_owners->expectedOwnerAt(*request.key) - now);
-    if (found == m_targets.end())
-        return microseconds(
-                0); // A key without owner is served again within the objective or not at all.
-    const auto &state = found->second;
-    const auto ahead = occupied(state, now) + waitingAhead(request, owner);
+    if (!item.owner)
+        return std::max(microseconds(0), m_owners->expectedOwnerAt(*item.request.key) - now);
+    const auto &state = *item.owner;
+    const auto ahead = occupied(state, now) + waitingAhead(item.request, item.owner);
     const auto slots = std::max<std::uint32_t>(1, state.target.slots);
     if (ahead < slots)
         return microseconds(0);
     return expectedTime(state, now) * static_cast<std::int64_t>(ahead - slots + 1) / slots;
 }
 
-microseconds service_dispatcher::expectedWait(const dispatch_request &request, instant now) const
+microseconds service_dispatcher::expectedWait(const waiting_request &item, instant now) const
 {
-    if (m_owners && request.key)
-        return ownerWait(request, now);
+    if (isKeyed(item.request))
+        return ownerWait(item, now);
     double perSecond = 0.0;
     std::size_t excess = 0;
     for (const auto &[id, state] : m_targets) {
@@ -204,19 +209,19 @@
         excess += busy > state.target.slots ? busy - state.target.slots : 0;
     }
     if (perSecond == 0.0)
-        return std::chrono::duration_cast<microseconds>(request.deadline - now);
-    const auto ahead = static_cast<double>(waitingAhead(request, {}) + excess);
+        return std::chrono::duration_cast<microseconds>(item.request.deadline - now);
+    const auto ahead = static_cast<double>(waitingAhead(item.request, nullptr) + excess);
     return microseconds(static_cast<std::int64_t>(ahead / perSecond * 1e6));
 }
 
-admission_input service_dispatcher::inputFor(const dispatch_request &request, instant now) const
+admission_input service_dispatcher::inputFor(const waiting_request &item, instant now) const
 {
     return {now,
-            request.arrival,
-            request.objective,
-            request.deadline,
-            expectedWait(request, now),
-            typicalServiceTime(request)};
+            item.request.arrival,
+            item.request.objective,
+            item.request.deadline,
+            expectedWait(item, now),
+            typicalServiceTime(item)};
 }
 
 void service_dispatcher::enqueue(const dispatch_request &request, instant now,
@@ -224,23 +229,24 @@
 {
     if (m_waiting.contains(request.token) || m_running.contains(request.token))
         return;
+    const waiting_request item{request, ownerOf(request)};
     if (!request.isRetry) {
         m_retries.deposit();
     } else if (!m_retries.withdraw()) {
-        reject(request, error_kind::Overloaded, now, decisions);
+        reject(item, error_kind::Overloaded, now, decisions);
         return;
     }
-    auto *state = m_waiting.empty() || m_owners ? choose(request, now) : nullptr;
-    if (state && waitingAhead(request, m_owners ? state->target.id : target_id{}) == 0) {
+    auto *state = m_waiting.empty() || m_owners ? choose(item, now) : nullptr;
+    if (state && waitingAhead(request, item.owner) == 0) {
         place(request, *state, now, decisions);
         return;
     }
     if (m_waiting.size() >= m_settings.maxWaiting
-        || !admission_policy::mayWait(inputFor(request, now))) {
-        reject(request, error_kind::Overloaded, now, decisions);
+        || !admission_policy::mayWait(inputFor(item, now))) {
+        reject(item, error_kind::Overloaded, now, decisions);
         return;
     }
-    m_waiting.emplace(request.token, request);
+    m_waiting.emplace(request.token, item);
     placeWaiting(now, decisions);
 }
 
@@ -257,14 +263,14 @@
     decisions.push_back(std::move(decision));
 }
 
-void service_dispatcher::reject(const dispatch_request &request, error_kind reason, instant now,
+void service_dispatcher::reject(const waiting_request &item, error_kind reason, instant now,
                                 dispatch_decisions &decisions)
 {
     dispatch_decision decision;
-    decision.token = request.token;
+    decision.token = item.request.token;
     decision.reason = reason;
-    decision.retryAfter = admission_policy::retryAfter(inputFor(request, now), request.token);
-    decision.waited = now - request.arrival;
+    decision.retryAfter = admission_policy::retryAfter(inputFor(item, now), decision.token);
+    decision.waited = now - item.request.arrival;
     decision.queueLength = m_waiting.size();
     decisions.push_back(std::move(decision));
 }
@@ -319,49 +325,54 @@
 
 void service_dispatcher::rejectHopeless(instant now, dispatch_decisions &decisions)
 {
-    std::vector<dispatch_request> hopeless;
-    for (const auto &[token, request] : m_waiting) {
-        const bool hasNoOwner = m_owners && request.key && m_owners->ownerOf(*request.key).empty();
+    std::vector<waiting_request> hopeless;
+    for (const auto &[token, item] : m_waiting) {
+        const bool hasNoOwner = isKeyed(item.request) && !item.owner;
         const auto begin =
-                hasNoOwner ? std::max(now, m_owners->expectedOwnerAt(*request.key)) : now;
-        const auto end = begin + typicalServiceTime(request);
-        if (end > admission_policy::latestUsefulEnd(request.objective, request.deadline))
-            hopeless.push_back(request);
+                hasNoOwner ? std::max(now, m_owners->expectedOwnerAt(*item.request.key)) : now;
+        const auto end = begin + typicalServiceTime(item);
+        if (end > admission_policy::latestUsefulEnd(item.request.objective, item.request.deadline))
+            hopeless.push_back(item);
     }
-    for (const auto &request : hopeless) {
-        m_waiting.erase(request.token);
-        reject(request, error_kind::Overloaded, now, decisions);
+    for (const auto &item : hopeless) {
+        m_waiting.erase(item.request.token);
+        reject(item, error_kind::Overloaded, now, decisions);
     }
 }
 
 bool service_dispatcher::goesFirst(const candidate &left, const candidate &right)
 {
-    if (left.request->priority != right.request->priority)
-        return left.request->priority < right.request->priority;
+    const auto &first = left.item->request;
+    const auto &second = right.item->request;
+    if (first.priority != second.priority)
+        return first.priority < second.priority;
     if (left.isLate != right.isLate)
         return right.isLate;
-    if (left.request->arrival != right.request->arrival)
-        return left.request->arrival < right.request->arrival;
-    return left.request->token < right.request->token;
+    if (first.arrival != second.arrival)
+        return first.arrival < second.arrival;
+    return first.token < second.token;
 }
 
 void service_dispatcher::placeWaiting(instant now, dispatch_decisions &decisions)
 {
     std::vector<candidate> order;
     order.reserve(m_waiting.size());
-    for (const auto &[token, request] : m_waiting)
-        order.push_back({&request, now + typicalServiceTime(request) > request.objective});
+    for (const auto &[token, item] : m_waiting) {
+        if (isKeyed(item.request) && !(item.owner && mayTake(*item.owner, now)))
+            continue;
+        order.push_back({&item, now + typicalServiceTime(item) > item.request.objective});
+    }
     std::sort(order.begin(), order.end(), goesFirst);
     std::vector<request_token> placedTokens;
-    for (const auto &[request, isLate] : order) {
-        auto *state = choose(*request, now);
+    for (const auto &[item, isLate] : order) {
+        auto *state = choose(*item, now);
         if (!state) {
             if (!m_owners)
                 break;
             continue;
         }
-        place(*request, *state, now, decisions);
-        placedTokens.push_back(request->token);
+        place(item->request, *state, now, decisions);
+        placedTokens.push_back(item->request.token);
     }
     for (const auto token : placedTokens)
         m_waiting.erase(token);
@@ -369,6 +380,7 @@
 
 void service_dispatcher::advance(instant now, dispatch_decisions &decisions)
 {
+    resolveOwners();
     freeOverdue(now);
     rejectHopeless(now, decisions);
     placeWaiting(now, decisions);
@@ -377,9 +389,10 @@
 instant service_dispatcher::nextDeadline(instant now) const
 {
     instant next = NEVER;
-    for (const auto &[token, request] : m_waiting) {
-        const auto latest = admission_policy::latestUsefulEnd(request.objective, request.deadline);
-        next = std::min(next, latest - typicalServiceTime(request));
+    for (const auto &[token, item] : m_waiting) {
+        const auto latest =
+                admission_policy::latestUsefulEnd(item.request.objective, item.request.deadline);
+        next = std::min(next, latest - typicalServiceTime(item));
     }
     for (const auto &[token, running] : m_running)
         next = std::min(next, running.request.deadline + OVERDUE_SLACK);
--- a/src/observability/internal/boundedlog.cpp
+++ b/src/observability/internal/boundedlog.cpp
@@ -57,13 +57,18 @@
         , m_urgent(limits.urgentLinesPerSecond, limits.burstLines)
     { }
 
-    void add(const std::string &line, bool isUrgent)
+    /// @return whether a line may be added; else it is counted as dropped.
+    bool admits(bool isUrgent)
     {
         const bool isAllowed = isUrgent ? m_urgent.take() : m_normal.take();
-        if (!isAllowed || m_text.size() + line.size() > m_limits.bufferBytes) {
-            ++m_dropped;
-            return;
-        }
+        if (isAllowed && m_text.size() < m_limits.bufferBytes)
+            return true;
+        ++m_dropped;
+        return false;
+    }
+
+    void add(const std::string &line)
+    {
         m_text += line;
         if (m_text.size() >= WRITE_BYTES)
             flush();
@@ -112,11 +117,15 @@
 protected:
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
+        const bool isUrgent = event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
+        // Checked before the line is made: under load most lines would be made for nothing.
+        if (!buffer().admits(isUrgent))
+            return;
         log4cxx::LogString text;
         m_layout->format(text, event, pool);
         std::string line;
         log4cxx::helpers::Transcoder::encodeUTF8(text, line);
-        buffer().add(line, event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()));
+        buffer().add(line);
     }
 
 private:
