Count requests as old as the loop's lag; fewer store calls; prefer the caller's data centre

A lag monitor now ages what is read; what has no time left is rejected at once. Store calls: each stored move woke all instances; others than coordinators now read ownership once a second. The unit test for unreachable targets found that the planner chose one as a destination; mended. Unsharded requests wait for a target of their data centre for up to a third of the time to the objective.

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -10,11 +10,11 @@
 
 /// Times that a coordinator keeps to.
 struct coordinator_settings {
-    std::chrono::milliseconds hold{3000};         ///< Hold time of grants while the store answers.
-    std::chrono::milliseconds longHold{9500};     ///< Hold time while the store is away.
-    std::chrono::milliseconds renewInterval{900}; ///< Time between renewals of a grant.
-    std::chrono::milliseconds retryInterval{250}; ///< Time before a failed order is repeated.
-    std::chrono::milliseconds deferral{30};       ///< Time before a deferred grant is repeated.
+    std::chrono::milliseconds hold{3000};          ///< Hold time of grants while the store answers.
+    std::chrono::milliseconds longHold{9500};      ///< Hold time while the store is away.
+    std::chrono::milliseconds renewInterval{1200}; ///< Time between renewals of a grant.
+    std::chrono::milliseconds retryInterval{250};  ///< Time before a failed order is repeated.
+    std::chrono::milliseconds deferral{30};        ///< Time before a deferred grant is repeated.
     /// How long a coordinator may act after it last saw in the store that it is the newest.
     std::chrono::milliseconds rightDuration{10000};
     std::chrono::milliseconds planInterval{250};
@@ -130,7 +130,8 @@
     void releaseLeaving(instant now);
     void reassignRestarted();
     void expire(instant now);
-    void plan();
+    void plan(instant now);
+    std::vector<key_holder> availableHolders(instant now) const;
     void placeUnowned(instant now);
     bool isAvailable(const key_holder &target, instant now) const;
     void assign(owned_range &range, const key_holder &target);
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -9,8 +9,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Cost of leaving the data centre of the caller, as time: bytes between data centres are priced.
-constexpr milliseconds REMOTE_PENALTY{25};
+/// Cost of leaving the caller's data centre, as a share of the time to the objective: bytes between
+/// data centres are dear, so a nearer target is waited for while the objective is not in danger.
+constexpr int REMOTE_PENALTY_PARTS = 3;
 /// A place whose end was not reported is freed this long after the request's deadline.
 constexpr milliseconds OVERDUE_SLACK{200};
 /// A running request that takes this multiple of the expected time marks its target as stuck.
@@ -133,6 +134,8 @@
     const auto &request = item.request;
     if (isKeyed(request))
         return item.owner && mayTake(*item.owner, now) ? item.owner : nullptr;
+    const auto remotePenalty =
+            std::max<microseconds>(microseconds(0), request.objective - now) / REMOTE_PENALTY_PARTS;
     target_state *best = nullptr;
     microseconds bestTime = microseconds::max();
     for (auto &[id, state] : m_targets) {
@@ -147,7 +150,7 @@
             time += service * (busy - state.target.slots + 1)
                     / std::max<std::uint32_t>(1, state.target.slots);
         if (state.target.dataCentre != request.dataCentre)
-            time += REMOTE_PENALTY;
+            time += remotePenalty;
         if (time < bestTime) {
             best = &state;
             bestTime = time;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -60,8 +60,9 @@
                [this](const service_name &service) { m_placement.onCoordinatorChanged(service); },
                [this] { m_feeds.prove(); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
-    , m_exchangeEnvironment{context, format,    m_targets,          m_placement,
-                            m_pool,  m_metrics, settings.dataCentre}
+    , m_lag(context)
+    , m_exchangeEnvironment{context, format,    m_targets, m_placement,
+                            m_pool,  m_metrics, m_lag,     settings.dataCentre}
     , m_readiness(format.readinessPath(), [this] { return readinessPage(); })
     , m_metricsPages("/metrics", [this] { return metricsPage(); })
     , m_callers(context, *this)
@@ -91,6 +92,7 @@
         return error;
     m_feeds.start();
     m_coordination.start();
+    m_lag.start();
     scheduleUpkeep();
     return {};
 }
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -78,6 +78,7 @@
     placement_client m_placement;
     coordination m_coordination;
     store_feeds m_feeds;
+    loop_lag m_lag;
     exchange_environment m_exchangeEnvironment;
     std::unique_ptr<route_table> m_routes;
     server_limits m_defaultLimits;
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -65,7 +65,7 @@
     m_call = std::move(call);
     m_caller = std::move(connection);
     m_context = m_around.format.readCaller(m_call);
-    m_arrival = boot_clock::now();
+    m_arrival = boot_clock::now() - m_around.lag.value();
     auto patience = m_context.deadline.value_or(DEFAULT_DEADLINE);
     if (m_rule.timeout > milliseconds(0))
         patience = std::min(patience, m_rule.timeout);
@@ -74,7 +74,11 @@
         if (const auto exchange = self.lock())
             exchange->onCallerLeft();
     });
-    m_timer.expires_after(patience);
+    if (timeLeft() <= milliseconds(0)) {
+        reject("read_too_late", DEFAULT_RETRY_AFTER);
+        return;
+    }
+    m_timer.expires_after(timeLeft());
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
             self->onDeadline();
--- a/src/gateway/internal/requestexchange.h
+++ b/src/gateway/internal/requestexchange.h
@@ -5,6 +5,7 @@
 #include "clementinebeam/gateway/routetable.h"
 #include "clementinebeam/gateway/targetdirectory.h"
 #include "internal/gatewaymetrics.h"
+#include "internal/looplag.h"
 #include "internal/placementclient.h"
 #include "internal/targetpool.h"
 
@@ -21,6 +22,7 @@
     placement_client &placement;
     target_pool &pool;
     gateway_metrics &metrics;
+    const loop_lag &lag;
     std::string dataCentre;
     bool isStopping = false; ///< Answers end their connections.
 };
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -18,7 +18,13 @@
 /// Entries of targets change all the time, so they are read at intervals: below the drain time of
 /// 2 s, and faster where places are given out.
 constexpr milliseconds TARGETS_INTERVAL{900};
-constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{300};
+constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{350};
+/// Owners of keys matter to others only while a coordinator is silent; a new coordinator is read of
+/// at once when the old one falls silent.
+constexpr milliseconds OWNERSHIP_PAUSE{1000};
+constexpr milliseconds COORDINATOR_OWNERSHIP_PAUSE{120};
+/// Proofs of the coordinator's right that are asked for within this time are one read.
+constexpr milliseconds PROOF_INTERVAL{60};
 /// Changes that follow each other closely are read together.
 constexpr milliseconds MIN_PAUSE{60};
 constexpr milliseconds FIRST_BACKOFF{150};
@@ -101,10 +107,12 @@
 
 void store_feeds::prove()
 {
-    if (m_isStopped || m_isProving || !m_ownership.isPositioned)
+    const auto askedAt = boot_clock::now();
+    if (m_isStopped || m_isProving || !m_ownership.isPositioned
+        || askedAt < m_provedAt + PROOF_INTERVAL)
         return;
     m_isProving = true;
-    const auto askedAt = boot_clock::now();
+    m_provedAt = askedAt;
     m_store.readFrom(store_stream::Coordination, m_ownership.next, milliseconds(0),
                      [this, askedAt](const store_batch &batch) {
                          m_isProving = false;
@@ -136,9 +144,16 @@
 
 milliseconds store_feeds::pauseOf(const feed &item) const
 {
-    if (item.stream != store_stream::Targets)
-        return item.stream == store_stream::Coordination ? milliseconds(0) : MIN_PAUSE;
-    return m_listener.isCoordinating() ? COORDINATOR_TARGETS_INTERVAL : TARGETS_INTERVAL;
+    const bool isCoordinating = m_listener.isCoordinating();
+    switch (item.stream) {
+    case store_stream::Targets:
+        return isCoordinating ? COORDINATOR_TARGETS_INTERVAL : TARGETS_INTERVAL;
+    case store_stream::Coordination:
+        return isCoordinating ? COORDINATOR_OWNERSHIP_PAUSE : OWNERSHIP_PAUSE;
+    case store_stream::Configuration:
+        break;
+    }
+    return MIN_PAUSE;
 }
 
 milliseconds store_feeds::backoff(const feed &item) const
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -103,6 +103,7 @@
     feed m_targetFeed;
     feed m_ownership;
     bool m_isProving = false;
+    instant m_provedAt{};
     instant m_lostAt{}; ///< First failed read of targets since the last success; zero if none.
     bool m_isStopped = false;
 };
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -180,7 +180,7 @@
     if (now >= m_nextPlan) {
         m_nextPlan = now + m_settings.planInterval;
         m_load.decay(now);
-        plan();
+        plan(now);
     }
     placeUnowned(now);
     mergeNeighbours();
@@ -283,17 +283,25 @@
     }
 }
 
-void key_coordinator::plan()
+std::vector<key_holder> key_coordinator::availableHolders(instant now) const
+{
+    std::vector<key_holder> holders;
+    for (const auto &[id, item] : m_holders) {
+        if (isAvailable(item, now))
+            holders.push_back(item);
+    }
+    return holders;
+}
+
+void key_coordinator::plan(instant now)
 {
     const bool isMoving = std::any_of(m_ranges.begin(), m_ranges.end(),
                                       [](const auto &range) { return !range.destination.empty(); });
     // Loads of ranges in transit would be counted wrongly, so one round of moves ends first.
     if (isMoving || !m_isStoreReachable)
         return;
-    std::vector<key_holder> holders;
-    for (const auto &[id, item] : m_holders)
-        holders.push_back(item);
-    for (const auto &move : m_planner.rebalance(holders, settledAssignments(), m_load))
+    for (const auto &move :
+         m_planner.rebalance(availableHolders(now), settledAssignments(), m_load))
         markReleasing(move);
 }
 
@@ -340,12 +348,7 @@
     }
     if (!hasUnowned)
         return;
-    std::vector<key_holder> holders;
-    for (const auto &[id, item] : m_holders) {
-        if (isAvailable(item, now))
-            holders.push_back(item);
-    }
-    for (const auto &move : m_planner.placeUnowned(holders, assignments(), m_load)) {
+    for (const auto &move : m_planner.placeUnowned(availableHolders(now), assignments(), m_load)) {
         splitAt(move.keys.first);
         if (move.keys.last < LAST_KEY)
             splitAt(move.keys.last + 1);
