--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -121,7 +121,6 @@
     void accept();
     void forgetClosed();
 
-    boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     i_request_handler &m_handler;
--- a/include/clementinebeam/observability/boundedlog.h
+++ b/include/clementinebeam/observability/boundedlog.h
@@ -9,8 +9,8 @@
 
 /// Limits of the log of a process.
 struct log_limits {
-    std::size_t bufferBytes = 128 * 1024; ///< Text that may wait for a slow reader.
-    double linesPerSecond = 150.0;        ///< For lines of level Info and below.
+    std::size_t bufferBytes = 131072; ///< Text that may wait for a slow reader.
+    double linesPerSecond = 150.0;    ///< For lines of level Info and below.
     double burstLines = 300.0;
     double urgentLinesPerSecond = 300.0; ///< For warnings and errors.
 };
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -198,8 +198,7 @@
 }
 
 server_listener::server_listener(boost::asio::io_context &context, i_request_handler &handler)
-    : m_context(context)
-    , m_acceptor(context)
+    : m_acceptor(context)
     , m_retryTimer(context)
     , m_handler(handler)
 { }
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -139,7 +139,7 @@
         m_keys->noteRequest(*request.key);
     dispatch_decisions decisions;
     m_dispatcher.enqueue(request, boot_clock::now(), decisions);
-    deliver(std::move(decisions));
+    deliver(decisions);
     schedule();
 }
 
@@ -147,11 +147,11 @@
 {
     dispatch_decisions decisions;
     m_dispatcher.complete(report, boot_clock::now(), decisions);
-    deliver(std::move(decisions));
+    deliver(decisions);
     schedule();
 }
 
-void coordinated_service::deliver(dispatch_decisions decisions)
+void coordinated_service::deliver(const dispatch_decisions &decisions)
 {
     for (const auto &decision : decisions) {
         m_around.metrics.observeQueueWait(m_name, decision.waited);
@@ -194,7 +194,7 @@
         advanceKeys(now);
     dispatch_decisions decisions;
     m_dispatcher.advance(now, decisions);
-    deliver(std::move(decisions));
+    deliver(decisions);
     m_isActing = false;
     schedule();
 }
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -76,7 +76,7 @@
     void act();
     void advanceKeys(instant now);
     void updateOwners(instant now);
-    void deliver(dispatch_decisions decisions);
+    void deliver(const dispatch_decisions &decisions);
     void schedule();
     void sendGrant(const grant_order &order);
     void sendRelease(const release_order &order);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -45,8 +45,7 @@
 
 gateway::gateway(boost::asio::io_context &context, const gateway_settings &settings,
                  i_cluster_store &store, const i_message_format &format)
-    : m_context(context)
-    , m_settings(settings)
+    : m_settings(settings)
     , m_format(format)
     , m_pool(context)
     , m_channel(context)
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -68,7 +68,6 @@
     http_answer readinessPage() const;
     http_answer metricsPage();
 
-    boost::asio::io_context &m_context;
     const gateway_settings m_settings;
     const i_message_format &m_format;
     gateway_metrics m_metrics;
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -179,9 +179,9 @@
     const auto number = ++item.reads;
     const bool isWhole = !item.isPositioned;
     item.askedAt = askedAt;
-    const auto done = [this, &item, number, askedAt, isWhole](store_batch batch) {
+    const auto done = [this, &item, number, askedAt, isWhole](const store_batch &batch) {
         if (number == item.reads)
-            onBatch(item, std::move(batch), askedAt, isWhole);
+            onBatch(item, batch, askedAt, isWhole);
     };
     if (isWhole)
         m_store.readNewest(item.stream, done);
@@ -218,7 +218,7 @@
     m_lostAt = instant{};
 }
 
-void store_feeds::onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole)
+void store_feeds::onBatch(feed &item, const store_batch &batch, instant askedAt, bool isWhole)
 {
     if (m_isStopped)
         return;
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -80,7 +80,7 @@
     };
 
     void read(feed &item);
-    void onBatch(feed &item, store_batch batch, instant askedAt, bool isWhole);
+    void onBatch(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
     void noteTargetRead(const feed &item, instant askedAt, instant now);
     void restartHungReads(instant before);
     void apply(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
--- /dev/null
+++ b/tests/platform/codectest.cpp
@@ -0,0 +1,443 @@
+#define BOOST_TEST_MODULE platform
+#include "clementinebeam/gateway/gatewaysettings.h"
+#include "clementinebeam/gateway/routetable.h"
+#include "clementinebeam/gateway/targetdirectory.h"
+#include "clementinebeam/kernel/durationtext.h"
+#include "platform/platformcodec.h"
+#include "platform/storecodec.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+using namespace clementinebeam;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const platform_codec CODEC;
+const instant START{seconds(100)};
+
+json targetEntry()
+{
+    return json::parse(R"({"address": "10.128.0.9:8080", "born": 1700000000000,
+        "info": {"backend": "orders", "resource-version": "v1", "zone": "palermo", "slots": 2},
+        "status": {"phase": "ready", "sequence": 4, "warmup-left": "1500ms"}})");
+}
+
+json configuration()
+{
+    return json::parse(R"({"resource-version": 7,
+        "routes": {"columns": ["name", "hostname", "path-prefix", "type", "timeout",
+                               "target-latency", "priority", "traffic-split", "max-attempts",
+                               "backend"],
+                   "rows": [["r1", "a.example", "/x/", "safe", "800ms", "400ms", 2,
+                             [{"backend": "s1", "weight": 90}, {"backend": "s2", "weight": 10}],
+                             2, null],
+                            ["r2", "b.example", "/y/z/", "unsafe", "1s", "500ms", 1, null, 2,
+                             "s2"]]},
+        "services": {"columns": ["name", "health-path", "max-connections", "sharded"],
+                     "rows": [["s1", "/healthz", 130, true], ["s2", "/healthz", 130, null]]},
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864,
+                   "header-timeout": "3000ms", "idle-timeout": "15000ms"}})");
+}
+
+/// A change to a message, and whether the message is still of use.
+struct damage_row {
+    std::string pointer;
+    std::string value; ///< JSON; empty to remove the field.
+    bool isUsable;
+};
+
+std::ostream &operator<<(std::ostream &stream, const damage_row &row)
+{
+    return stream << row.pointer << " = " << row.value;
+}
+
+json damaged(json message, const damage_row &row)
+{
+    const json::json_pointer pointer(row.pointer);
+    if (row.value.empty())
+        message[pointer.parent_pointer()].erase(pointer.back());
+    else
+        message[pointer] = json::parse(row.value);
+    return message;
+}
+
+const std::vector<damage_row> TARGET_DAMAGES{
+        {"/address", "", false},
+        {"/address", "7", false},
+        {"/address", "\"10.128.0.9\"", false},
+        {"/address", "\"host:80\"", false},
+        {"/address", "\"10.128.0.9:0\"", false},
+        {"/address", "\"10.128.0.9:99999\"", false},
+        {"/info", "", false},
+        {"/info", "[]", false},
+        {"/info/backend", "", false},
+        {"/info/backend", "3", false},
+        {"/info/slots", "\"2\"", false},
+        {"/info/slots", "0", false},
+        {"/info/slots", "-1", false},
+        {"/status/phase", "\"asleep\"", false},
+        {"/status/phase", "null", false},
+        {"/status/phase", "\"draining\"", true},
+        {"/status/warmup-left", "\"soon\"", false},
+        {"/status/warmup-left", "", true},
+        {"/status/sequence", "\"x\"", true},
+        {"/born", "\"yesterday\"", false},
+        {"/born", "1.5", false},
+        {"/born", "", true},
+        {"/unknown", "{\"a\": 1}", true},
+};
+
+const std::vector<damage_row> CONFIGURATION_DAMAGES{
+        {"/resource-version", "", false},
+        {"/resource-version", "\"7\"", false},
+        {"/routes", "", false},
+        {"/routes/columns", "5", false},
+        {"/routes/rows/0", "7", false},
+        {"/routes/rows/0/3", "\"risky\"", false},
+        {"/routes/rows/0/4", "\"fast\"", false},
+        {"/routes/rows/0/7", "[]", false},
+        {"/routes/rows/0/7/0/weight", "-1", false},
+        {"/routes/rows/1/9", "null", false},
+        {"/services", "", false},
+        {"/services/rows/0/3", "\"yes\"", false},
+        {"/limits", "", true},
+        {"/extra", "1", true},
+};
+
+store_record recordOf(const std::string &key, const std::string &value)
+{
+    return {key, value, value.empty()};
+}
+
+std::string readBody(std::uint64_t end, const std::vector<store_record> &records)
+{
+    std::string body;
+    for (const auto number : {end, std::uint64_t{0}}) {
+        for (int shift = 56; shift >= 0; shift -= 8)
+            body += static_cast<char>(number >> static_cast<unsigned>(shift));
+    }
+    for (const auto &record : records)
+        body += encodeRecord(record);
+    return body;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(target_entry_is_read)
+{
+    const auto entry = CODEC.readTarget("i-1", targetEntry().dump());
+    BOOST_REQUIRE(entry);
+    BOOST_CHECK_EQUAL(entry.value().service, "orders");
+    BOOST_CHECK_EQUAL(entry.value().dataCentre, "palermo");
+    BOOST_CHECK_EQUAL(entry.value().address.text(), "10.128.0.9:8080");
+    BOOST_CHECK_EQUAL(entry.value().incarnation, 1700000000000U);
+    BOOST_CHECK(entry.value().coldFor == milliseconds(1500));
+    BOOST_CHECK(!entry.value().isDraining);
+}
+
+BOOST_DATA_TEST_CASE(damaged_target_entries_name_no_target, TARGET_DAMAGES, row)
+{
+    const auto entry = CODEC.readTarget("i-1", damaged(targetEntry(), row).dump());
+    BOOST_CHECK_EQUAL(static_cast<bool>(entry), row.isUsable);
+}
+
+BOOST_AUTO_TEST_CASE(configuration_is_read)
+{
+    const auto read = CODEC.readConfiguration(configuration().dump());
+    BOOST_REQUIRE(read);
+    const auto &value = read.value();
+    BOOST_CHECK_EQUAL(value.version, 7U);
+    BOOST_REQUIRE_EQUAL(value.routes.size(), 2U);
+    BOOST_CHECK(value.routes[0].isIdempotent);
+    BOOST_CHECK(!value.routes[1].isIdempotent);
+    BOOST_CHECK(value.routes[1].timeout == milliseconds(1000));
+    BOOST_CHECK_EQUAL(value.routes[0].shares.size(), 2U);
+    BOOST_CHECK(value.services[0].isKeyed);
+    BOOST_CHECK(!value.services[1].isKeyed);
+    BOOST_CHECK(value.limits.idleTimeout == seconds(15));
+}
+
+BOOST_DATA_TEST_CASE(damaged_configurations_are_taken_whole_or_not_at_all, CONFIGURATION_DAMAGES,
+                     row)
+{
+    const auto read = CODEC.readConfiguration(damaged(configuration(), row).dump());
+    BOOST_CHECK_EQUAL(static_cast<bool>(read), row.isUsable);
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_are_refused_without_harm)
+{
+    std::mt19937 random(11);
+    const auto sound = configuration().dump();
+    for (int round = 0; round < 3000; ++round) {
+        auto bytes = sound;
+        const auto changes = 1 + random() % 6;
+        for (std::size_t change = 0; change < changes; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+        (void)CODEC.readConfiguration(bytes);
+        (void)CODEC.readTarget("i-1", bytes);
+        (void)decodeNewest(bytes);
+        (void)decodeMembership(bytes);
+        (void)decodeRead(bytes, 3);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(caller_headers_are_read)
+{
+    http_call call;
+    call.set("X-Clementinebeam-Request-Id", "9c41");
+    call.set("X-Clementinebeam-Deadline-Ms", "1500");
+    call.set("X-Clementinebeam-Shard-Key", "65535");
+    const auto context = CODEC.readCaller(call);
+    BOOST_CHECK_EQUAL(context.requestId, "9c41");
+    BOOST_CHECK(context.deadline == milliseconds(1500));
+    BOOST_CHECK(context.key == 65535U);
+    call.set("X-Clementinebeam-Deadline-Ms", "soon");
+    call.set("X-Clementinebeam-Shard-Key", "65536");
+    BOOST_CHECK(!CODEC.readCaller(call).deadline);
+    BOOST_CHECK(!CODEC.readCaller(call).key);
+}
+
+BOOST_AUTO_TEST_CASE(request_to_a_target_keeps_its_headers_but_for_those_of_the_connection)
+{
+    http_call call;
+    call.method(boost::beast::http::verb::post);
+    call.target("/a?b=c");
+    call.set("X-Clementinebeam-Request-Id", "9c41");
+    call.set("Connection", "close, X-Hop");
+    call.set("X-Hop", "1");
+    call.set("X-Own", "2");
+    call.body() = "body";
+    CODEC.addressTo(call, "i-7", milliseconds(420));
+    BOOST_CHECK_EQUAL(call["X-Clementinebeam-Request-Id"], "9c41");
+    BOOST_CHECK_EQUAL(call["X-Clementinebeam-Expect-Instance"], "i-7");
+    BOOST_CHECK_EQUAL(call["X-Clementinebeam-Deadline-Ms"], "420");
+    BOOST_CHECK_EQUAL(call["X-Own"], "2");
+    BOOST_CHECK_EQUAL(call.count("X-Hop"), 0U);
+    BOOST_CHECK(call.keep_alive());
+    BOOST_CHECK_EQUAL(call["Content-Length"], "4");
+}
+
+BOOST_AUTO_TEST_CASE(answers_state_whether_they_ran)
+{
+    http_answer answer;
+    answer.result(503);
+    BOOST_CHECK(!CODEC.readAnswer(answer).isNotExecuted);
+    answer.set("X-Clementinebeam-Not-Executed", "1");
+    BOOST_CHECK(CODEC.readAnswer(answer).isNotExecuted);
+    http_answer misdirected;
+    misdirected.result(421);
+    BOOST_CHECK(CODEC.readAnswer(misdirected).isNotExecuted);
+    for (const unsigned status : {408U, 421U, 429U, 503U})
+        BOOST_CHECK(CODEC.promisesNotRun(status));
+    for (const unsigned status : {200U, 400U, 500U, 502U, 504U})
+        BOOST_CHECK(!CODEC.promisesNotRun(status));
+}
+
+BOOST_AUTO_TEST_CASE(load_and_idle_time_are_read)
+{
+    http_answer answer;
+    answer.set("X-Clementinebeam-Server-Load", "3,1,8");
+    answer.set("Keep-Alive", "timeout=10, max=100");
+    const auto context = CODEC.readAnswer(answer);
+    BOOST_REQUIRE(context.load);
+    BOOST_CHECK_EQUAL(context.load->running, 3U);
+    BOOST_CHECK_EQUAL(context.load->slots, 8U);
+    BOOST_CHECK(context.idleTimeout == seconds(10));
+    for (const auto *text : {"", "3", "3,1", "3,x,8", "3,1,8,9", "-1,0,2"}) {
+        answer.set("X-Clementinebeam-Server-Load", text);
+        BOOST_CHECK(!CODEC.readAnswer(answer).load);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(orders_to_targets_are_written)
+{
+    const auto grant = CODEC.grantCall({"i-7", {4096, 8191}, 12, milliseconds(4000), "5c0e"});
+    BOOST_CHECK_EQUAL(grant.target(), "/grant");
+    BOOST_CHECK_EQUAL(grant["X-Clementinebeam-Expect-Instance"], "i-7");
+    BOOST_CHECK(json::parse(grant.body())
+                == json::parse(R"({"from": 4096, "target": 8191, "fence": 12,
+                                   "hold_time": "4000ms", "handover": "5c0e"})"));
+    const auto release = CODEC.releaseCall({"i-7", {4096, 8191}, 12});
+    BOOST_CHECK_EQUAL(release.target(), "/release");
+    BOOST_CHECK(json::parse(release.body())
+                == json::parse(R"({"from": 4096, "target": 8191, "fence": 12})"));
+}
+
+BOOST_AUTO_TEST_CASE(records_survive_the_way_to_the_store_and_back)
+{
+    const std::vector<store_record> records{recordOf("config", "{}"), recordOf("gone", "")};
+    const auto batch = decodeRead(readBody(9, records), 7);
+    BOOST_REQUIRE(batch);
+    BOOST_CHECK_EQUAL(batch->next, 9U);
+    BOOST_REQUIRE_EQUAL(batch->records.size(), 2U);
+    BOOST_CHECK_EQUAL(batch->records[0].key, "config");
+    BOOST_CHECK_EQUAL(batch->records[0].value, "{}");
+    BOOST_CHECK(batch->records[1].isRemoved);
+}
+
+BOOST_AUTO_TEST_CASE(truncated_reads_are_refused)
+{
+    const auto body = readBody(9, {recordOf("config", "{}")});
+    for (std::size_t size = 0; size < body.size(); ++size) {
+        if (size == 16)
+            continue; // No records is an ordinary answer.
+        BOOST_CHECK(!decodeRead(std::string_view(body).substr(0, size), 7));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answers_of_the_store_are_classified)
+{
+    const auto classified = [](unsigned status) {
+        http_answer answer;
+        answer.result(status);
+        return classify(exchange_failure::None, answer);
+    };
+    BOOST_CHECK(classified(200) == store_failure::None);
+    BOOST_CHECK(classified(409) == store_failure::Conflict);
+    BOOST_CHECK(classified(412) == store_failure::Conflict);
+    BOOST_CHECK(classified(410) == store_failure::Forgotten);
+    for (const unsigned status : {403U, 429U, 503U, 507U})
+        BOOST_CHECK(classified(status) == store_failure::Refused);
+    BOOST_CHECK(classify(exchange_failure::NotSent, {}) == store_failure::Refused);
+    BOOST_CHECK(classify(exchange_failure::ConnectionLost, {}) == store_failure::Unreachable);
+    BOOST_CHECK(classify(exchange_failure::MalformedAnswer, {}) == store_failure::Unreachable);
+}
+
+BOOST_AUTO_TEST_CASE(newest_records_and_membership_are_read)
+{
+    const auto page = decodeNewest(
+            R"({"items": [{"key": "config", "value": "e30=", "offset": 4}, {"key": 7}],
+                "more": true, "end": 6})");
+    BOOST_REQUIRE(page);
+    BOOST_CHECK_EQUAL(page->end, 6U);
+    BOOST_CHECK(page->hasMore);
+    BOOST_REQUIRE_EQUAL(page->records.size(), 1U);
+    BOOST_CHECK_EQUAL(page->records[0].value, "{}");
+    const auto joined = decodeMembership(
+            R"({"generation": 7, "parts": [["coordinators", 3, 840], ["other", 1, 0], "x"]})");
+    BOOST_REQUIRE(joined);
+    BOOST_CHECK_EQUAL(joined->generation, 7U);
+    BOOST_REQUIRE_EQUAL(joined->parts.size(), 1U);
+    BOOST_CHECK_EQUAL(joined->parts[0], 3U);
+    BOOST_CHECK(!decodeMembership(R"({"parts": []})"));
+    BOOST_CHECK(!decodeNewest("[]"));
+}
+
+BOOST_AUTO_TEST_CASE(durations_have_a_number_and_a_unit)
+{
+    BOOST_CHECK(parseDuration("1500ms") == milliseconds(1500));
+    BOOST_CHECK(parseDuration("2.5s") == milliseconds(2500));
+    for (const auto *text : {"", "ms", "5", "5m", "-1s", "1e99s", "nans", "5 s"})
+        BOOST_CHECK(!parseDuration(text));
+    BOOST_CHECK_EQUAL(durationText(milliseconds(40)), "40ms");
+}
+
+BOOST_AUTO_TEST_CASE(longest_prefix_wins_and_parts_of_names_do_not_match)
+{
+    routing_configuration value;
+    value.routes = {{"short", "a.example", "/x/", true, {}, {}, 0, 1, {{"s1", 1.0}}},
+                    {"long", "a.example", "/x/y/", true, {}, {}, 0, 1, {{"s2", 1.0}}}};
+    route_table table(value);
+    BOOST_CHECK_EQUAL(table.find("A.example:80", "/x/y/z?q=/p/")->rule.name, "long");
+    BOOST_CHECK_EQUAL(table.find("a.example", "/x/yz")->rule.name, "short");
+    BOOST_CHECK(!table.find("a.example", "/x"));
+    BOOST_CHECK(!table.find("b.example", "/x/y/"));
+}
+
+BOOST_AUTO_TEST_CASE(split_requests_match_the_weights)
+{
+    routing_configuration value;
+    value.routes = {
+            {"r", "a", "/", true, {}, {}, 0, 1, {{"s1", 70.0}, {"s2", 20.0}, {"s3", 10.0}}}};
+    route_table table(value);
+    std::map<service_name, int> counts;
+    for (int request = 0; request < 100; ++request)
+        ++counts[table.find("a", "/")->nextService()];
+    BOOST_CHECK_EQUAL(counts["s1"], 70);
+    BOOST_CHECK_EQUAL(counts["s2"], 20);
+    BOOST_CHECK_EQUAL(counts["s3"], 10);
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_vanish_around_an_outage_are_kept_until_they_could_be_listed_again)
+{
+    target_directory directory;
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    directory.setStoreReachable(true, START + seconds(5));
+    directory.remove("i-1", START + seconds(5));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    directory.advance(START + seconds(6));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    directory.advance(START + seconds(8));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_is_listed_again_is_not_removed)
+{
+    target_directory directory;
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    directory.setStoreReachable(true, START + seconds(5));
+    directory.remove("i-1", START + seconds(5));
+    directory.update(entry, START + seconds(6));
+    directory.advance(START + seconds(20));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_time_counts_from_the_first_sign)
+{
+    target_directory directory;
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    BOOST_CHECK(directory.find("i-1")->ownerUntil() == instant::max());
+    entry.isDraining = true;
+    directory.update(entry, START + seconds(1));
+    const auto until = directory.find("i-1")->ownerUntil();
+    BOOST_CHECK(until < START + seconds(2));
+    directory.remove("i-1", START + seconds(3));
+    BOOST_CHECK(directory.find("i-1")->ownerUntil() == until);
+}
+
+BOOST_AUTO_TEST_CASE(settings_problems_name_the_field)
+{
+    const auto text = [](const std::string &name, const std::string &value) {
+        json document = json::parse(R"({"instance": "i", "data_centre": "p",
+            "address": "10.1.0.18", "caller_listener": "10.1.0.18:8381",
+            "readiness_listener": "10.1.0.18:8388", "first_internal_port": 7200,
+            "store": "10.200.1.7:8384", "store_parts": 8, "bounds": {"drain": "2s"}})");
+        if (!name.empty())
+            document[json::json_pointer(name)] = json::parse(value);
+        return document.dump();
+    };
+    BOOST_CHECK(std::holds_alternative<gateway_settings>(parseGatewaySettings(text("", ""))));
+    const std::vector<std::pair<std::string, std::string>> faults{
+            {"/instance", "7"},
+            {"/caller_listener", "\"10.1.0.18\""},
+            {"/store", "\"host:1\""},
+            {"/first_internal_port", "0"},
+            {"/store_parts", "\"many\""},
+            {"/bounds/drain", "\"later\""},
+            {"/bounds/retry_share", "-1"},
+            {"/stray", "1"}};
+    for (const auto &[name, value] : faults) {
+        const auto parsed = parseGatewaySettings(text(name, value));
+        BOOST_REQUIRE_MESSAGE(std::holds_alternative<settings_problems>(parsed), name);
+        auto path = name.substr(1);
+        std::replace(path.begin(), path.end(), '/', '.');
+        BOOST_CHECK_EQUAL(std::get<settings_problems>(parsed).front().path, path);
+    }
+    const auto broken = parseGatewaySettings("{\n\"instance\": \"i\",\n!}");
+    BOOST_REQUIRE(std::holds_alternative<settings_problems>(broken));
+    BOOST_CHECK(std::get<settings_problems>(broken).front().path.find("line 3")
+                != std::string::npos);
+}
--- /dev/null
+++ b/tests/platform/gatewaytest.cpp
@@ -0,0 +1,361 @@
+#define BOOST_TEST_MODULE gateway
+#include "internal/gateway.h"
+#include "clementinebeam/asynchttp/clientconnection.h"
+#include "platform/platformcodec.h"
+#include "platform/storeclient.h"
+#include "storestandin.h"
+#include "targetstandin.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace clementinebeam;
+using nlohmann::json;
+using std::chrono::milliseconds;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint16_t STORE_PORT = 21800;
+constexpr std::uint16_t TARGET_PORT = 21810;
+constexpr std::uint16_t GATEWAY_PORT = 21820;
+const std::string HOST = "127.0.0.1";
+
+tcp_endpoint local(std::uint16_t port)
+{
+    return {boost::asio::ip::make_address_v4(HOST), port};
+}
+
+std::string configurationText(std::uint64_t version, const std::string &service)
+{
+    const json routes{
+            {"columns",
+             {"name", "hostname", "path-prefix", "type", "timeout", "target-latency", "priority",
+              "max-attempts", "backend"}},
+            {"rows",
+             {{"read", "a.example", "/read/", "safe", "800ms", "400ms", 1, 2, service},
+              {"write", "a.example", "/write/", "unsafe", "800ms", "400ms", 0, 2, service},
+              {"key", "a.example", "/key/", "safe", "800ms", "400ms", 0, 2, "keyed"}}}};
+    const json services{{"columns", {"name", "health-path", "sharded"}},
+                        {"rows", {{"plain", "/healthz", nullptr}, {"keyed", "/healthz", true}}}};
+    return json{{"resource-version", version}, {"routes", routes}, {"services", services}}.dump();
+}
+
+std::string entryText(std::uint16_t port, const std::string &service, const std::string &phase)
+{
+    return json{{"address", HOST + ':' + std::to_string(port)},
+                {"born", 1},
+                {"info",
+                 {{"backend", service}, {"resource-version", "v1"}, {"zone", "p"}, {"slots", 2}}},
+                {"status", {{"phase", phase}, {"sequence", 1}, {"warmup-left", "0ms"}}}}
+            .dump();
+}
+
+gateway_settings settingsOf()
+{
+    gateway_settings settings;
+    settings.instance = "i1";
+    settings.dataCentre = "p";
+    settings.callerListener = {HOST, GATEWAY_PORT};
+    settings.readinessListener = {HOST, GATEWAY_PORT + 1};
+    settings.peerListener = {HOST, GATEWAY_PORT + 2};
+    settings.metricsListener = {HOST, GATEWAY_PORT + 3};
+    settings.store = {HOST, STORE_PORT};
+    settings.storeParts = 8;
+    return settings;
+}
+
+/// A gateway with a store, two plain targets and a keyed one, on one event loop.
+class whole_path
+{
+public:
+    whole_path()
+        : store(context)
+        , first(context, "t1")
+        , second(context, "t2")
+        , keyed(context, "k1")
+        , m_client(context, local(STORE_PORT), 8)
+        , m_gateway(context, settingsOf(), m_client, m_codec)
+    {
+        BOOST_REQUIRE(!store.listen(local(STORE_PORT)));
+        BOOST_REQUIRE(!first.listen(local(TARGET_PORT)));
+        BOOST_REQUIRE(!second.listen(local(TARGET_PORT + 1)));
+        BOOST_REQUIRE(!keyed.listen(local(TARGET_PORT + 2)));
+        store.put("keyed.op", "config", configurationText(1, "plain"));
+        store.put("keyed.servers", "t1", entryText(TARGET_PORT, "plain", "ready"));
+        store.put("keyed.servers", "t2", entryText(TARGET_PORT + 1, "plain", "ready"));
+        store.put("keyed.servers", "k1", entryText(TARGET_PORT + 2, "keyed", "ready"));
+        BOOST_REQUIRE(!m_gateway.start());
+        runUntil([this] { return keyed.grants() > 0; });
+        run(milliseconds(50));
+    }
+
+    void run(milliseconds time) { context.run_for(time); }
+
+    template <class condition_type>
+    void runUntil(const condition_type &condition)
+    {
+        for (int round = 0; round < 300 && !condition(); ++round)
+            run(milliseconds(10));
+        BOOST_REQUIRE(condition());
+    }
+
+    static http_call request(http::verb method, const std::string &target, const std::string &id)
+    {
+        http_call call;
+        call.version(11);
+        call.method(method);
+        call.target(target);
+        call.set(http::field::host, "a.example");
+        call.set("X-Clementinebeam-Request-Id", id);
+        call.set("X-Clementinebeam-Deadline-Ms", "700");
+        call.prepare_payload();
+        return call;
+    }
+
+    std::shared_ptr<client_connection> connect()
+    {
+        return std::make_shared<client_connection>(context, local(GATEWAY_PORT), milliseconds(500));
+    }
+
+    http_answer ask(http_call call)
+    {
+        std::optional<http_answer> result;
+        const auto connection = connect();
+        connection->exchange(std::move(call), {},
+                             [&](exchange_failure failure, http_answer &&answer) {
+                                 BOOST_CHECK(failure == exchange_failure::None);
+                                 result = std::move(answer);
+                             });
+        runUntil([&] { return result.has_value(); });
+        return *result;
+    }
+
+    gateway &instance() { return m_gateway; }
+
+    boost::asio::io_context context{1};
+    store_standin store;
+    target_standin first;
+    target_standin second;
+    target_standin keyed;
+
+private:
+    store_client m_client;
+    platform_codec m_codec;
+    gateway m_gateway;
+};
+
+std::size_t arrivals(const whole_path &path)
+{
+    return path.first.requests().size() + path.second.requests().size();
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(requests_are_served_whole, whole_path)
+{
+    auto call = request(http::verb::post, "/write/x?y=1", "id-1");
+    call.body() = "jars";
+    call.prepare_payload();
+    const auto answer = ask(call);
+    BOOST_CHECK_EQUAL(answer.result_int(), 200U);
+    BOOST_CHECK_EQUAL(answer["X-Clementinebeam-Request-Id"], "id-1");
+    BOOST_CHECK(answer.body().find("/write/x?y=1 jars") != std::string::npos);
+    BOOST_CHECK(!answer["X-Clementinebeam-Response-Signature"].empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(owner_of_a_key_gets_its_requests, whole_path)
+{
+    auto call = request(http::verb::get, "/key/x", "id-1");
+    call.set("X-Clementinebeam-Shard-Key", "4711");
+    BOOST_CHECK_EQUAL(ask(call).result_int(), 200U);
+    BOOST_CHECK_EQUAL(keyed.requests().size(), 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(unknown_routes_get_404, whole_path)
+{
+    BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/else/x", "id-1")).result_int(), 404U);
+}
+
+BOOST_FIXTURE_TEST_CASE(new_configuration_is_in_force_at_once_and_older_ones_are_ignored,
+                        whole_path)
+{
+    store.put("keyed.op", "config", configurationText(5, "keyed"));
+    run(milliseconds(200));
+    store.put("keyed.op", "config", configurationText(3, "plain"));
+    run(milliseconds(200));
+    ask(request(http::verb::get, "/read/x", "id-1"));
+    BOOST_CHECK_EQUAL(arrivals(*this), 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_cut_short_is_repeated_for_idempotent_requests_only, whole_path)
+{
+    const auto cut = [](const http_call &, const std::shared_ptr<server_connection> &connection) {
+        connection->close();
+    };
+    first.setBehaviour(cut);
+    second.setBehaviour(cut);
+    BOOST_CHECK_EQUAL(ask(request(http::verb::post, "/write/x", "id-1")).result_int(), 502U);
+    BOOST_CHECK_EQUAL(arrivals(*this), 1U);
+    run(milliseconds(500));
+    BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/read/x", "id-2")).result_int(), 502U);
+    BOOST_CHECK_EQUAL(arrivals(*this), 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(rejection_without_proof_is_not_passed_on_as_a_promise, whole_path)
+{
+    const auto shed = [](const http_call &, const std::shared_ptr<server_connection> &connection) {
+        connection->respond(makeOwnAnswer(503));
+    };
+    first.setBehaviour(shed);
+    second.setBehaviour(shed);
+    const auto answer = ask(request(http::verb::post, "/write/x", "id-1"));
+    BOOST_CHECK_EQUAL(answer.result_int(), 502U);
+    BOOST_CHECK_EQUAL(arrivals(*this), 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(proved_rejection_is_sent_to_another_target, whole_path)
+{
+    const auto shed = [](const http_call &, const std::shared_ptr<server_connection> &connection) {
+        auto answer = makeOwnAnswer(503);
+        answer.set("X-Clementinebeam-Not-Executed", "1");
+        connection->respond(std::move(answer));
+    };
+    first.setBehaviour(shed);
+    for (int request = 0; request < 3; ++request) {
+        const auto answer = ask(
+                whole_path::request(http::verb::post, "/write/x", "id-" + std::to_string(request)));
+        BOOST_CHECK_EQUAL(answer.result_int(), 200U);
+    }
+    BOOST_CHECK_EQUAL(second.requests().size(), 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(when_all_targets_reject_the_caller_is_told_when_to_return, whole_path)
+{
+    const auto shed = [](const http_call &, const std::shared_ptr<server_connection> &connection) {
+        auto answer = makeOwnAnswer(503);
+        answer.set("X-Clementinebeam-Not-Executed", "1");
+        connection->respond(std::move(answer));
+    };
+    first.setBehaviour(shed);
+    second.setBehaviour(shed);
+    const auto answer = ask(request(http::verb::post, "/write/x", "id-1"));
+    BOOST_CHECK_EQUAL(answer.result_int(), 503U);
+    BOOST_CHECK(!answer["Retry-After"].empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(success_without_signature_or_with_an_encoding_is_no_success, whole_path)
+{
+    const auto unsignedAnswer = [](const http_call &call,
+                                   const std::shared_ptr<server_connection> &connection) {
+        auto answer = makeOwnAnswer(200, "forged");
+        answer.set("X-Clementinebeam-Request-Id", call["X-Clementinebeam-Request-Id"]);
+        connection->respond(std::move(answer));
+    };
+    first.setBehaviour(unsignedAnswer);
+    second.setBehaviour(unsignedAnswer);
+    BOOST_CHECK_EQUAL(ask(request(http::verb::post, "/write/x", "id-1")).result_int(), 502U);
+    const auto encoded = [this](const http_call &call,
+                                const std::shared_ptr<server_connection> &connection) {
+        auto answer = first.soundAnswer(call);
+        answer.set(http::field::content_encoding, "gzip");
+        connection->respond(std::move(answer));
+    };
+    first.setBehaviour(encoded);
+    second.setBehaviour(encoded);
+    run(milliseconds(300));
+    BOOST_CHECK_EQUAL(ask(request(http::verb::post, "/write/x", "id-2")).result_int(), 502U);
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_to_another_request_is_never_delivered, whole_path)
+{
+    const auto foreign = [this](const http_call &call,
+                                const std::shared_ptr<server_connection> &connection) {
+        auto answer = first.soundAnswer(call);
+        answer.set("X-Clementinebeam-Request-Id", "somebody-else");
+        connection->respond(std::move(answer));
+    };
+    first.setBehaviour(foreign);
+    second.setBehaviour(foreign);
+    const auto answer = ask(request(http::verb::post, "/write/x", "id-1"));
+    BOOST_CHECK(answer.result_int() == 502U || answer.result_int() == 504U);
+    BOOST_CHECK(answer.body().find("/write/x") == std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(silent_target_ends_at_the_deadline, whole_path)
+{
+    const auto silent = [](const http_call &, const std::shared_ptr<server_connection> &) {};
+    first.setBehaviour(silent);
+    second.setBehaviour(silent);
+    const auto begin = boot_clock::now();
+    const auto answer = ask(request(http::verb::post, "/write/x", "id-1"));
+    BOOST_CHECK_EQUAL(answer.result_int(), 504U);
+    BOOST_CHECK(boot_clock::now() - begin < milliseconds(1200));
+}
+
+BOOST_FIXTURE_TEST_CASE(caller_that_leaves_ends_the_work_at_the_target, whole_path)
+{
+    bool hasEnded = false;
+    const auto slow = [&](const http_call &, const std::shared_ptr<server_connection> &connection) {
+        connection->setLeftHandler([&] { hasEnded = true; });
+    };
+    first.setBehaviour(slow);
+    second.setBehaviour(slow);
+    const auto connection = connect();
+    connection->exchange(request(http::verb::get, "/read/x", "id-1"), {},
+                         [](exchange_failure, http_answer &&) {});
+    runUntil([&] { return arrivals(*this) == 1; });
+    connection->close();
+    runUntil([&] { return hasEnded; });
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_are_served_while_the_store_is_away, whole_path)
+{
+    store.setAway(true);
+    run(milliseconds(300));
+    BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/read/x", "id-1")).result_int(), 200U);
+    auto call = request(http::verb::get, "/key/x", "id-2");
+    call.set("X-Clementinebeam-Shard-Key", "1");
+    BOOST_CHECK_EQUAL(ask(call).result_int(), 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_target_gets_no_more_requests, whole_path)
+{
+    store.put("keyed.servers", "t1", entryText(TARGET_PORT, "plain", "draining"));
+    // The users' rules allow two seconds.
+    run(milliseconds(1900));
+    for (int request = 0; request < 6; ++request)
+        ask(whole_path::request(http::verb::get, "/read/x", "id-" + std::to_string(request)));
+    BOOST_CHECK_EQUAL(first.requests().size(), 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(stop_lets_the_request_in_work_end, whole_path)
+{
+    std::shared_ptr<server_connection> held;
+    http_call heldCall;
+    const auto hold = [&](const http_call &call,
+                          const std::shared_ptr<server_connection> &connection) {
+        heldCall = call;
+        held = connection;
+    };
+    first.setBehaviour(hold);
+    second.setBehaviour(hold);
+    std::optional<http_answer> result;
+    const auto connection = connect();
+    connection->exchange(request(http::verb::post, "/write/x", "id-1"), {},
+                         [&](exchange_failure failure, http_answer &&answer) {
+                             BOOST_CHECK(failure == exchange_failure::None);
+                             result = std::move(answer);
+                         });
+    runUntil([&] { return held != nullptr; });
+    bool isStopped = false;
+    instance().stop([&] { isStopped = true; });
+    run(milliseconds(300));
+    held->respond(first.soundAnswer(heldCall));
+    runUntil([&] { return result.has_value(); });
+    BOOST_CHECK_EQUAL(result->result_int(), 200U);
+    BOOST_CHECK(!result->keep_alive());
+    for (int round = 0; round < 40 && !isStopped; ++round)
+        run(milliseconds(100));
+    BOOST_CHECK(isStopped);
+}
--- /dev/null
+++ b/tests/platform/storestandin.cpp
@@ -0,0 +1,154 @@
+#include "storestandin.h"
+
+#include "clementinebeam/kernel/base64.h"
+#include "platform/storecodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace clementinebeam {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t PARTS = 8;
+constexpr std::size_t LENGTH_BYTES = 4;
+
+/// @return the value of a query parameter; empty if it is missing.
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const auto start = target.find(name + '=');
+    if (start == std::string::npos)
+        return {};
+    const auto begin = start + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::string bigEndian(std::uint64_t value)
+{
+    std::string bytes;
+    for (int shift = 56; shift >= 0; shift -= 8)
+        bytes += static_cast<char>(value >> static_cast<unsigned>(shift));
+    return bytes;
+}
+
+} // namespace
+
+store_standin::store_standin(boost::asio::io_context &context)
+    : m_context(context)
+    , m_listener(context, *this)
+{ }
+
+void store_standin::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    m_topics[topic].push_back({key, value});
+    wake(topic);
+}
+
+int store_standin::calls(const std::string &path) const
+{
+    const auto found = m_calls.find(path);
+    return found == m_calls.end() ? 0 : found->second;
+}
+
+void store_standin::handle(http_call &&call, const std::shared_ptr<server_connection> &connection)
+{
+    const std::string target(call.target());
+    const auto path = target.substr(0, target.find('?'));
+    ++m_calls[path];
+    if (m_isAway)
+        return;
+    const auto topic = parameter(target, "topic");
+    if (path == "/log-newest") {
+        connection->respond(newest(topic));
+    } else if (path == "/log-append") {
+        connection->respond(append(topic, parameter(target, "at"), call.body()));
+        wake(topic);
+    } else if (path == "/log-join") {
+        connection->respond(join());
+    } else if (path == "/log-leave") {
+        connection->respond(makeOwnAnswer(200, "{}"));
+    } else if (path == "/log-read") {
+        const auto wait = parameter(target, "wait-ms");
+        waiting_read read{topic, std::stoul(parameter(target, "from")), connection, nullptr};
+        if (wait.empty() || read.from < m_topics[topic].size()) {
+            answerRead(read);
+            return;
+        }
+        read.timer = std::make_shared<boost::asio::steady_timer>(m_context);
+        read.timer->expires_after(std::chrono::milliseconds(std::stoul(wait)));
+        read.timer->async_wait([this, read](boost::system::error_code error) {
+            if (!error && !m_isAway)
+                answerRead(read);
+        });
+        m_waiting.push_back(read);
+    } else {
+        connection->respond(makeOwnAnswer(404));
+    }
+}
+
+void store_standin::wake(const std::string &topic)
+{
+    const auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (const auto &read : waiting) {
+        if (read.topic != topic || m_isAway) {
+            m_waiting.push_back(read);
+            continue;
+        }
+        read.timer->cancel();
+        answerRead(read);
+    }
+}
+
+std::string store_standin::content(const std::string &topic, std::size_t from) const
+{
+    const auto found = m_topics.find(topic);
+    std::string body;
+    for (std::size_t index = from; found != m_topics.end() && index < found->second.size(); ++index)
+        body += encodeRecord({found->second[index].key, found->second[index].value, false});
+    return body;
+}
+
+void store_standin::answerRead(const waiting_read &read)
+{
+    read.connection->respond(makeOwnAnswer(200,
+                                           bigEndian(m_topics[read.topic].size()) + bigEndian(0)
+                                                   + content(read.topic, read.from)));
+}
+
+http_answer store_standin::newest(const std::string &topic)
+{
+    std::map<std::string, std::string> values;
+    for (const auto &item : m_topics[topic])
+        values[item.key] = item.value;
+    json items = json::array();
+    for (const auto &[key, value] : values) {
+        if (!value.empty())
+            items.push_back({{"key", key}, {"value", encodeBase64(value)}, {"offset", 0}});
+    }
+    const json body{{"items", items}, {"more", false}, {"end", m_topics[topic].size()}};
+    return makeOwnAnswer(200, body.dump());
+}
+
+http_answer store_standin::append(const std::string &topic, const std::string &at,
+                                  const std::string &body)
+{
+    auto &records = m_topics[topic];
+    if (!at.empty() && std::stoul(at) != records.size())
+        return makeOwnAnswer(412, json{{"end", records.size()}}.dump());
+    const auto keySize = static_cast<unsigned char>(body.at(LENGTH_BYTES));
+    records.push_back(
+            {body.substr(LENGTH_BYTES + 1, keySize), body.substr(LENGTH_BYTES + 1 + keySize)});
+    return makeOwnAnswer(200, json{{"offset", records.size() - 1}, {"end", records.size()}}.dump());
+}
+
+http_answer store_standin::join()
+{
+    json parts = json::array();
+    for (std::uint32_t part = 0; part < PARTS; ++part)
+        parts.push_back({"coordinators", part, 0});
+    return makeOwnAnswer(200, json{{"generation", 1}, {"parts", parts}}.dump());
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/tests/platform/storestandin.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "clementinebeam/asynchttp/serverconnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace clementinebeam {
+
+/// Stand-in of the platform's store: keyed topics, conditional appends, long polls and one group.
+class store_standin : public i_request_handler
+{
+public:
+    explicit store_standin(boost::asio::io_context &context);
+
+    std::error_code listen(const tcp_endpoint &address) { return m_listener.listen(address); }
+
+    /// Writes a record as the operators or the targets do.
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+
+    /// @param isAway whether calls stay without an answer.
+    void setAway(bool isAway) { m_isAway = isAway; }
+
+    /// @return how many calls of a path came.
+    int calls(const std::string &path) const;
+
+    void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override;
+    const server_limits &limits() const override { return m_limits; }
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+
+    struct waiting_read {
+        std::string topic;
+        std::size_t from = 0;
+        std::shared_ptr<server_connection> connection;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void answerRead(const waiting_read &read);
+    void wake(const std::string &topic);
+    http_answer newest(const std::string &topic);
+    http_answer append(const std::string &topic, const std::string &at, const std::string &body);
+    http_answer join();
+    std::string content(const std::string &topic, std::size_t from) const;
+
+    boost::asio::io_context &m_context;
+    server_listener m_listener;
+    server_limits m_limits;
+    std::map<std::string, std::vector<record>> m_topics;
+    std::vector<waiting_read> m_waiting;
+    std::map<std::string, int> m_calls;
+    bool m_isAway = false;
+};
+
+} // namespace clementinebeam
