One hold time for all coordinators; placements name the target's address; grants to a target in turn

With one hold time for all, an accepted grant with the new token bounds earlier holds too. The longer holds during an outage of the store are gone: they only helped if the coordinator was lost in that outage. Instances that only enter requests read targets every 1.3 s (0.9), as a placement names the address.

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -10,8 +10,9 @@
 
 /// Times that a coordinator keeps to.
 struct coordinator_settings {
-    std::chrono::milliseconds hold{3000};          ///< Hold time of grants while the store answers.
-    std::chrono::milliseconds longHold{9500};      ///< Hold time while the store is away.
+    /// Longest hold time of a grant; equal for all coordinators, as each counts on the others' too.
+    /// Long enough for a takeover after a coordinator's loss, short for the keys of silent targets.
+    std::chrono::milliseconds hold{3000};
     std::chrono::milliseconds renewInterval{1200}; ///< Time between renewals of a grant.
     std::chrono::milliseconds retryInterval{250};  ///< Time before a failed order is repeated.
     std::chrono::milliseconds deferral{30};        ///< Time before a deferred grant is repeated.
--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -85,6 +85,7 @@
     fence_number fence = 0;
     std::chrono::milliseconds hold{0};
     std::string handover; ///< State reference from the previous owner; may be empty.
+    instant issued{};     ///< The hold time is right for a grant that is sent about then.
 };
 
 /// Takes a range back from a target.
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -13,6 +13,8 @@
 
 /// Targets answer grants within milliseconds.
 constexpr milliseconds GRANT_TIMEOUT{500};
+/// Grants to one target go one after the other; one that waited longer is made anew.
+constexpr milliseconds MAX_GRANT_DELAY{100};
 /// A release is answered once the running work has ended, which may take some service times.
 constexpr milliseconds RELEASE_TIMEOUT{2500};
 /// Time between two looks at holds and loads of keys.
@@ -40,7 +42,6 @@
 coordinator_settings keySettings(const service_bounds &bounds)
 {
     coordinator_settings settings;
-    settings.longHold = std::min(settings.longHold, bounds.holdMax);
     settings.hold = std::min(settings.hold, bounds.holdMax);
     return settings;
 }
@@ -265,18 +266,27 @@
 
 void coordinated_service::sendGrant(const grant_order &order)
 {
-    const auto done = [this, order](order_result outcome, const std::string &) {
-        if (outcome != order_result::Accepted && outcome != order_result::Deferred)
-            logOrder(log_level::Warning, "grant_failed", m_name, order, nameOf(outcome));
-        m_keys->onGrantResult(order, outcome, boot_clock::now());
-        if (outcome == order_result::Accepted)
-            act();
+    auto &queue = m_grantQueues[order.target];
+    queue.push_back(order);
+    if (queue.size() == 1)
+        sendNextGrant(order.target);
+}
+
+void coordinated_service::sendNextGrant(const target_id &target)
+{
+    const auto order = m_grantQueues[target].front();
+    const auto done = [this, target](order_result outcome, const std::string &) {
+        onGrantDone(target, outcome);
     };
-    const auto *listed = m_around.targets.find(order.target);
+    const auto *listed = m_around.targets.find(target);
     if (!listed) {
         finishLater(order_result::NotSent, done);
         return;
     }
+    if (boot_clock::now() > order.issued + MAX_GRANT_DELAY) {
+        finishLater(order_result::Deferred, done);
+        return;
+    }
     const auto entry = listed->entry;
     const auto connection = m_controlPool.take(entry);
     if (!connection->isReusable()) {
@@ -292,6 +302,31 @@
     call(entry, connection, m_around.format.grantCall(order), GRANT_TIMEOUT, done);
 }
 
+void coordinated_service::onGrantDone(const target_id &target, order_result outcome)
+{
+    const auto now = boot_clock::now();
+    auto &queue = m_grantQueues[target];
+    const auto order = queue.front();
+    queue.pop_front();
+    if (outcome != order_result::Accepted && outcome != order_result::Deferred)
+        logOrder(log_level::Warning, "grant_failed", m_name, order, nameOf(outcome));
+    m_keys->onGrantResult(order, outcome, now);
+    // What holds for one order holds for the others that wait for the same target.
+    const bool isUnreachable =
+            outcome == order_result::NotSent || outcome == order_result::Unanswered;
+    if (isUnreachable || outcome == order_result::Deferred) {
+        const auto others = std::move(queue);
+        queue.clear();
+        for (const auto &other : others)
+            m_keys->onGrantResult(
+                    other, isUnreachable ? order_result::NotSent : order_result::Deferred, now);
+    }
+    if (!queue.empty())
+        sendNextGrant(target);
+    if (outcome == order_result::Accepted)
+        act();
+}
+
 void coordinated_service::connect(const target_entry &entry,
                                   const std::shared_ptr<client_connection> &connection,
                                   const order_handler &done)
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -9,7 +9,9 @@
 #include "internal/targetpool.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -79,6 +81,8 @@
     void deliver(const dispatch_decisions &decisions);
     void schedule();
     void sendGrant(const grant_order &order);
+    void sendNextGrant(const target_id &target);
+    void onGrantDone(const target_id &target, order_result outcome);
     void sendRelease(const release_order &order);
     void call(const target_entry &entry, const std::shared_ptr<client_connection> &connection,
               http_call request, std::chrono::milliseconds timeout, const order_handler &done);
@@ -94,6 +98,7 @@
     service_dispatcher m_dispatcher;
     std::optional<key_coordinator> m_keys;
     target_pool m_controlPool;
+    std::map<target_id, std::deque<grant_order>> m_grantQueues; ///< The first one is on its way.
     boost::asio::steady_timer m_timer;
     std::uint64_t m_ownersRevision = 0;
     std::uint64_t m_reportedMoves = 0;
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -154,6 +154,9 @@
         m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
         if (m_onStale)
             m_onStale(store_stream::Coordination);
+        // Until a coordinator answers, this instance has to know itself which targets leave.
+        if (m_onStale)
+            m_onStale(store_stream::Targets);
         decideAlone(item);
         return;
     }
@@ -250,6 +253,12 @@
 }
 
 void placement_client::finish(const dispatch_decision &decision)
+{
+    const auto *listed = m_targets.find(decision.target);
+    finish(decision, listed ? listed->entry.address : network_address{});
+}
+
+void placement_client::finish(const dispatch_decision &decision, const network_address &address)
 {
     const auto found = m_pending.find(decision.token);
     if (found == m_pending.end())
@@ -259,7 +268,7 @@
     item->timer.cancel();
     if (decision.target.empty())
         m_placed.erase(decision.token);
-    item->done(decision);
+    item->done(decision, address);
 }
 
 void placement_client::onDecision(const service_name &service, const dispatch_decision &decision)
@@ -351,6 +360,10 @@
 void placement_client::sendPlacement(const udp_endpoint &peer, placement_message message)
 {
     message.configuration = m_configuration;
+    if (const auto *listed = m_targets.find(message.target)) {
+        message.targetHost = listed->entry.address.host;
+        message.targetPort = listed->entry.address.port;
+    }
     m_channel.send(peer, message);
 }
 
@@ -429,7 +442,7 @@
     decision.queueLength = message.queueLength;
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
-    finish(decision);
+    finish(decision, {message.targetHost, message.targetPort});
 }
 
 void placement_client::takeEnded(const udp_endpoint &peer, const ended_message &message)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -19,7 +19,9 @@
 class placement_client
 {
 public:
-    using decision_handler = std::function<void(const dispatch_decision &)>;
+    /// Takes the decision and, for a placed request, where its target listens.
+    using decision_handler =
+            std::function<void(const dispatch_decision &, const network_address &)>;
 
     placement_client(boost::asio::io_context &context, peer_channel &channel,
                      const target_directory &targets);
@@ -104,6 +106,7 @@
     local_service &local(const service_name &service);
     void updateLocal(const service_name &service, local_service &item);
     void finish(const dispatch_decision &decision);
+    void finish(const dispatch_decision &decision, const network_address &address);
     void sendReport(const std::shared_ptr<unconfirmed_report> &item);
     bool isSilent(const udp_endpoint &peer) const;
     std::optional<udp_endpoint> coordinatorOf(const service_name &service) const;
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -37,6 +37,8 @@
     service_name service;
     request_token token = 0;
     target_id target;
+    std::string targetHost; ///< Where the target listens, as the coordinator knows it.
+    std::uint16_t targetPort = 0;
     std::int32_t reason = 0;
     std::int64_t retryAfterMs = 0;
     std::int64_t waitedUs = 0;
@@ -46,7 +48,8 @@
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(service, token, target, reason, retryAfterMs, waitedUs, queueLength, configuration);
+        archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
+                queueLength, configuration);
     }
 };
 
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -105,17 +105,18 @@
     request.deadline = m_deadline;
     request.dataCentre = m_around.dataCentre;
     request.excluded = m_failedTarget;
-    const auto token = m_around.placement.place(
-            m_service, std::move(request),
-            [self = shared_from_this()](const dispatch_decision &decision) {
-                self->onDecision(decision);
-            });
+    const auto token =
+            m_around.placement.place(m_service, std::move(request),
+                                     [self = shared_from_this()](const dispatch_decision &decision,
+                                                                 const network_address &address) {
+                                         self->onDecision(decision, address);
+                                     });
     // The decision may have come at once, and with it the next stage.
     if (m_stage == stage::Placing)
         m_token = token;
 }
 
-void request_exchange::onDecision(const dispatch_decision &decision)
+void request_exchange::onDecision(const dispatch_decision &decision, const network_address &address)
 {
     m_token = decision.token;
     if (m_stage != stage::Placing)
@@ -130,16 +131,20 @@
             reject(m_sends > 0 ? m_lastFailure : "overloaded", decision.retryAfter);
         return;
     }
+    // A target that started lately may not be listed here yet; the coordinator told its address.
     const auto *listed = m_around.targets.find(decision.target);
-    const bool isUsable = listed && listed->entry.service == m_service
-            && boot_clock::now() < listed->ownerUntil();
-    if (!isUsable || timeLeft() <= milliseconds(0)) {
+    const bool isLeaving = listed && boot_clock::now() >= listed->ownerUntil();
+    if (isLeaving || address.port == 0 || timeLeft() <= milliseconds(0)) {
         reportRun(run_result::NotUsed, std::nullopt);
         ++m_unsentTries;
-        onFailure(run_result::NotSent, listed ? "target_leaving" : "target_unknown_here");
+        onFailure(run_result::NotSent, isLeaving ? "target_leaving" : "target_unknown");
         return;
     }
-    send(listed->entry);
+    target_entry target;
+    target.id = decision.target;
+    target.service = m_service;
+    target.address = address;
+    send(target);
 }
 
 void request_exchange::send(const target_entry &target)
--- a/src/gateway/internal/requestexchange.h
+++ b/src/gateway/internal/requestexchange.h
@@ -53,7 +53,7 @@
     };
 
     void place();
-    void onDecision(const dispatch_decision &decision);
+    void onDecision(const dispatch_decision &decision, const network_address &address);
     void send(const target_entry &target);
     void onAnswer(exchange_failure failure, http_answer &&answer);
     void judge(http_answer &&answer, const answer_context &context);
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -16,12 +16,12 @@
 /// A coordinator proves its right with each read, and has to see a successor soon.
 constexpr milliseconds COORDINATOR_WAIT{1000};
 /// Entries of targets change all the time, so they are read at intervals: below the drain time of
-/// 2 s, and faster where places are given out.
-constexpr milliseconds TARGETS_INTERVAL{900};
+/// 2 s, and faster where places are given out. Others are told where to send each request.
+constexpr milliseconds TARGETS_INTERVAL{1300};
 constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{350};
 /// Owners of keys matter to others only while a coordinator is silent; a new coordinator is read of
 /// at once when the old one falls silent.
-constexpr milliseconds OWNERSHIP_PAUSE{1000};
+constexpr milliseconds OWNERSHIP_PAUSE{1800};
 constexpr milliseconds COORDINATOR_OWNERSHIP_PAUSE{120};
 /// Proofs of the coordinator's right that are asked for within this time are one read.
 constexpr milliseconds PROOF_INTERVAL{60};
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -68,10 +68,9 @@
 
 milliseconds key_coordinator::holdTime(instant now) const
 {
-    const auto wanted = m_isStoreReachable ? m_settings.hold : m_settings.longHold;
     const auto left = std::chrono::duration_cast<milliseconds>(m_rightSeenAt
                                                                + m_settings.rightDuration - now);
-    return std::min(wanted, left);
+    return std::min(m_settings.hold, left);
 }
 
 void key_coordinator::onGrantResult(const grant_order &order, order_result result, instant now)
@@ -86,13 +85,17 @@
         case order_result::Accepted:
             if (!range.isAccepted)
                 ++m_revision;
+            // No earlier coordinator can extend its hold any more; what it granted ends as ours
+            // does.
+            if (!range.isFenced)
+                range.heldUntil = range.unansweredUntil;
             range.isAccepted = true;
             range.isFenced = true;
             range.failures = 0;
             range.handover.clear();
             range.destination.clear();
             // A renewal with a shorter hold may leave a longer one in force.
-            range.heldUntil = std::max(range.heldUntil, holdEnd(now, order.hold));
+            range.heldUntil = std::max(range.heldUntil, holdEnd(now, m_settings.hold));
             break;
         case order_result::Superseded:
             // If another coordinator is active, storing the new token fails and ends this one.
@@ -415,7 +418,7 @@
         range.heldBeforeCall = range.heldUntil;
         range.heldUntil = std::max(range.heldUntil, holdEnd(now, hold));
         actions.grants.push_back({range.assignment.target, range.assignment.keys,
-                                  range.assignment.fence, hold, range.handover});
+                                  range.assignment.fence, hold, range.handover, now});
     }
 }
 
