--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -24,6 +24,8 @@
     /// Time that a target may measure less than we do, as a share of the hold time.
     double clockDrift = 0.02;
     std::chrono::milliseconds clockMargin{150}; ///< For delays on the way to a target.
+    /// Ranges for each target above which the key space is made whole again.
+    std::size_t rangesPerTarget = 5;
     /// How long a target that could not be reached is given no keys.
     std::chrono::milliseconds avoidance{3000};
 };
@@ -134,6 +136,8 @@
     void plan(instant now);
     std::vector<key_holder> availableHolders(instant now) const;
     void placeUnowned(instant now);
+    void unifyFences();
+    bool isFragmented() const;
     bool isAvailable(const key_holder &target, instant now) const;
     void assign(owned_range &range, const key_holder &target);
     void issueGrants(instant now, coordinator_actions &actions);
--- a/include/clementinebeam/keyspace/rangeplanner.h
+++ b/include/clementinebeam/keyspace/rangeplanner.h
@@ -24,6 +24,14 @@
                                       const std::vector<range_assignment> &ranges,
                                       const key_load &load) const;
 
+    /// Gives narrow ranges that are idle again to the owner of their neighbour, as each range costs
+    /// renewals. Answers the end of hot spells, which leave the key space in pieces.
+    /// @param ranges assignments in order of keys.
+    /// @param load request rates by key.
+    /// @return moves of ranges that have an owner now.
+    std::vector<range_move> consolidate(const std::vector<range_assignment> &ranges,
+                                        const key_load &load) const;
+
     /// @param holders targets that may own keys.
     /// @param ranges assignments in order of keys.
     /// @param load request rates by key.
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -303,11 +303,47 @@
     // Loads of ranges in transit would be counted wrongly, so one round of moves ends first.
     if (isMoving || !m_isStoreReachable)
         return;
-    for (const auto &move :
-         m_planner.rebalance(availableHolders(now), settledAssignments(), m_load))
+    const auto settled = settledAssignments();
+    auto moves = m_planner.rebalance(availableHolders(now), settled, m_load);
+    if (moves.empty() && isFragmented()) {
+        unifyFences();
+        moves = m_planner.consolidate(settled, m_load);
+    }
+    for (const auto &move : moves)
         markReleasing(move);
 }
 
+bool key_coordinator::isFragmented() const
+{
+    return m_ranges.size()
+            > m_settings.rangesPerTarget * std::max<std::size_t>(1, m_holders.size());
+}
+
+/// Gives neighbouring ranges of one target a common token, so that they become one range. Their
+/// holds go on meanwhile: the target takes the new token with the next renewal.
+void key_coordinator::unifyFences()
+{
+    const auto isSettled = [](const owned_range &range) {
+        return range.state == phase::Assigned && range.isAccepted && range.isStored
+                && !range.isCalling && range.destination.empty();
+    };
+    for (std::size_t first = 0; first < m_ranges.size();) {
+        std::size_t end = first + 1;
+        while (end < m_ranges.size() && isSettled(m_ranges[first]) && isSettled(m_ranges[end])
+               && m_ranges[end].assignment.target == m_ranges[first].assignment.target)
+            ++end;
+        if (end - first > 1) {
+            const auto fence = m_record.nextFence++;
+            for (auto index = first; index < end; ++index) {
+                m_ranges[index].assignment.fence = fence;
+                m_ranges[index].isStored = false;
+            }
+            m_isDirty = true;
+        }
+        first = end;
+    }
+}
+
 void key_coordinator::assign(owned_range &range, const key_holder &target)
 {
     range.state = phase::Assigned;
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -25,6 +25,9 @@
 constexpr int MAX_HALVINGS = 4;
 /// Standard deviations by which a load has to stand out of its noise.
 constexpr double SIGNIFICANCE = 2.5;
+/// Requests a second below which a narrow range counts as idle.
+constexpr double IDLE_RATE = 0.5;
+constexpr std::size_t MAX_CONSOLIDATIONS = 12;
 /// A move has to lower the load of the fuller of both targets to this share at least.
 constexpr double USEFUL_SHARE = 0.95;
 
@@ -270,6 +273,30 @@
     return moves;
 }
 
+std::vector<range_move> range_planner::consolidate(const std::vector<range_assignment> &ranges,
+                                                   const key_load &load) const
+{
+    std::vector<range_move> moves;
+    target_id neighbour;
+    for (const auto &range : ranges) {
+        const bool isNarrow = range.keys.size() <= MAX_HOT_WIDTH;
+        if (neighbour.empty() || !isNarrow || range.target == neighbour) {
+            neighbour = range.target;
+            continue;
+        }
+        const auto item = measured(range.keys, load);
+        if (item.recent > IDLE_RATE || item.steady > IDLE_RATE) {
+            neighbour = range.target;
+            continue;
+        }
+        // The neighbour stays the same: the range joins it.
+        moves.push_back({range.keys, range.target, neighbour});
+        if (moves.size() >= MAX_CONSOLIDATIONS)
+            break;
+    }
+    return moves;
+}
+
 std::vector<range_move> range_planner::placeUnowned(const std::vector<key_holder> &holders,
                                                     const std::vector<range_assignment> &ranges,
                                                     const key_load &load) const
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -335,6 +335,28 @@
     BOOST_CHECK_EQUAL(system.coordinator().moveCount(), 0U);
 }
 
+// Each range costs renewals: 635 of them took the coordinator's processor (lakeshore, trouble-2).
+BOOST_AUTO_TEST_CASE(key_space_becomes_whole_again_after_hot_spells)
+{
+    obedient_system system;
+    std::vector<key_holder> holders;
+    for (int index = 0; index < 6; ++index)
+        holders.push_back(holderOf("t" + std::to_string(index)));
+    system.setHolders(holders);
+    system.run(seconds(1));
+    for (int spell = 0; spell < 6; ++spell) {
+        for (int step = 0; step < 40; ++step) {
+            for (int request = 0; request < 3; ++request)
+                system.coordinator().noteRequest(static_cast<key_number>(
+                        1000 + spell * 9000 + (step * 7 + request * 13) % 40));
+            system.run(milliseconds(50));
+        }
+    }
+    system.run(seconds(40));
+    BOOST_CHECK_LE(system.coordinator().rangeCount(), 6 * SETTINGS.rangesPerTarget);
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+}
+
 BOOST_AUTO_TEST_CASE(new_target_gets_keys)
 {
     obedient_system system;
