--- a/include/clementinebeam/dispatch/dispatchtypes.h
+++ b/include/clementinebeam/dispatch/dispatchtypes.h
@@ -26,7 +26,6 @@
     instant deadline;       ///< Latest answer that the caller waits for.
     std::string dataCentre; ///< Where the request entered.
     target_id excluded;     ///< Target that already failed the request, if any.
-    std::uint64_t fingerprint = 0;
 };
 
 /// How a target dealt with a request.
--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -126,6 +126,7 @@
     void freeOverdue(instant now);
     void release(const run_report &report, instant now);
     void updateSharedServiceTime();
+    error_kind reasonFor(const waiting_request &item) const;
     admission_input inputFor(const waiting_request &item, instant now) const;
 
     dispatch_settings m_settings;
--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -18,6 +18,8 @@
         target_entry entry;
         bool isGone = false;
         instant leavingSince{}; ///< When it was first seen draining or gone; zero if neither.
+        std::chrono::milliseconds ownerTime{
+                0}; ///< It may get requests for its keys that much longer.
 
         bool isLeaving() const { return isGone || entry.isDraining; }
 
@@ -30,6 +32,9 @@
 
     using target_map = std::map<target_id, listed_target>;
 
+    /// @param drain how long after its notice a leaving target may get requests.
+    explicit target_directory(std::chrono::milliseconds drain = std::chrono::milliseconds(2000));
+
     /// Takes a new or changed entry.
     /// @return whether anything changed.
     bool update(const target_entry &entry, instant now);
@@ -60,6 +65,7 @@
     bool isRecovering(instant now) const;
     void markGone(listed_target &target, instant now);
 
+    const std::chrono::milliseconds m_ownerTime;
     target_map m_targets;
     std::map<target_id, instant> m_pendingRemovals;
     bool m_isStoreReachable = true;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "explain.h"
+
 #include "clementinebeam/kernel/bootclock.h"
 #include "formatter.h"
 
@@ -295,6 +297,41 @@
 
 } // namespace
 
+namespace {
+
+constexpr std::size_t MAX_LOG_FILES = 1000;
+
+exit_code runExplain(const command_context &context)
+{
+    const auto &id = context.arguments.front();
+    std::vector<logged_event> events;
+    for (std::size_t index = 1; index < context.arguments.size(); ++index) {
+        std::ifstream file(context.arguments[index]);
+        if (!file) {
+            std::cerr << "cannot read " << context.arguments[index] << '\n';
+            return exit_code::Usage;
+        }
+        for (std::string line; std::getline(file, line);) {
+            auto event = parseLogLine(line);
+            if (!event.name.empty())
+                events.push_back(std::move(event));
+        }
+    }
+    const auto story = explainRequest(events, id);
+    if (story.empty()) {
+        std::cerr << "request " << id << " is in none of the " << events.size()
+                  << " lines; the log may be of other instances or another time, or the line was "
+                     "dropped (see event=log_lines_dropped)\n";
+        return exit_code::Failed;
+    }
+    for (const auto &event : story)
+        std::cout << event.time << ' ' << event.instance << ' ' << event.name << ' ' << event.text
+                  << '\n';
+    return exit_code::Success;
+}
+
+} // namespace
+
 const std::vector<command> &commands()
 {
     static const std::vector<command> COMMANDS{
@@ -316,6 +353,8 @@
             {"audit", "[LIMIT]", "lists the newest changes", 0, 1, runAudit},
             {"confirm-lost", "SERVICE SHARD",
              "states that no earlier leader of a shard is active any more", 2, 2, runConfirmLost},
+            {"explain", "ID FILE...", "tells a request's story from the logs of gateways", 2,
+             MAX_LOG_FILES + 1, runExplain},
             {"completion", "", "prints a completion rule for the shell", 0, 0, runCompletion},
     };
     return COMMANDS;
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -227,6 +227,12 @@
             typicalServiceTime(item)};
 }
 
+error_kind service_dispatcher::reasonFor(const waiting_request &item) const
+{
+    const bool hasNoOwner = isKeyed(item.request) && !item.owner;
+    return hasNoOwner ? error_kind::NoOwner : error_kind::Overloaded;
+}
+
 void service_dispatcher::enqueue(const dispatch_request &request, instant now,
                                  dispatch_decisions &decisions)
 {
@@ -246,7 +252,7 @@
     }
     if (m_waiting.size() >= m_settings.maxWaiting
         || !admission_policy::mayWait(inputFor(item, now))) {
-        reject(item, error_kind::Overloaded, now, decisions);
+        reject(item, reasonFor(item), now, decisions);
         return;
     }
     m_waiting.emplace(request.token, item);
@@ -339,7 +345,7 @@
     }
     for (const auto &item : hopeless) {
         m_waiting.erase(item.request.token);
-        reject(item, error_kind::Overloaded, now, decisions);
+        reject(item, reasonFor(item), now, decisions);
     }
 }
 
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -68,7 +68,6 @@
     void join();
     void scheduleJoin(std::chrono::milliseconds delay);
     void considerClaims();
-    void claim(const routed_service &service);
     ownership_record claimOf(const routed_service &service) const;
     bool isResponsibleFor(const service_name &service) const;
     void storeNext();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -47,6 +47,7 @@
                  i_cluster_store &store, const i_message_format &format)
     : m_settings(settings)
     , m_format(format)
+    , m_targets(settings.bounds.drain)
     , m_pool(context)
     , m_channel(context)
     , m_placement(context, m_channel, m_targets)
@@ -138,7 +139,7 @@
 {
     const auto now = boot_clock::now();
     m_pool.closeIdle(now);
-    m_coordination.setStoreReachable(m_feeds.isStoreReachable(now));
+    m_coordination.setStoreReachable(m_feeds.isStoreReachable());
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         log_line(log_level::Info, "readiness_changed")
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -65,7 +65,6 @@
     message.deadlineUs = micros(request.deadline - now);
     message.dataCentre = request.dataCentre;
     message.excluded = request.excluded;
-    message.fingerprint = request.fingerprint;
     return message;
 }
 
@@ -82,7 +81,6 @@
     request.deadline = now + microseconds(message.deadlineUs);
     request.dataCentre = message.dataCentre;
     request.excluded = message.excluded;
-    request.fingerprint = message.fingerprint;
     return request;
 }
 
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -21,14 +21,13 @@
     std::int64_t deadlineUs = 0;  ///< Until the deadline.
     std::string dataCentre;
     target_id excluded;
-    std::uint64_t fingerprint = 0;
     std::uint64_t configuration = 0; ///< Version in force at the sender.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, hasKey, key, priority, isRetry, ageUs, objectiveUs, deadlineUs,
-                dataCentre, excluded, fingerprint, configuration);
+                dataCentre, excluded, configuration);
     }
 };
 
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -128,7 +128,8 @@
         if (m_mayHaveRun)
             giveUp(m_lastFailure);
         else
-            reject(m_sends > 0 ? m_lastFailure : "overloaded", decision.retryAfter);
+            reject(m_sends > 0 ? m_lastFailure : answerFor(decision.reason).reason.data(),
+                   decision.retryAfter);
         return;
     }
     // A target that started lately may not be listed here yet; the coordinator told its address.
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -79,7 +79,7 @@
     return m_configuration.wasComplete && m_targetFeed.wasComplete && m_ownership.wasComplete;
 }
 
-bool store_feeds::isStoreReachable(instant) const
+bool store_feeds::isStoreReachable() const
 {
     return m_ownership.failures < AWAY_FAILURES && m_ownership.wasComplete;
 }
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -53,7 +53,7 @@
     bool isComplete() const;
 
     /// @return whether the ownership stream could be read lately.
-    bool isStoreReachable(instant now) const;
+    bool isStoreReachable() const;
 
     /// @return the time since a stream was last confirmed to be up to date.
     std::chrono::milliseconds age(store_stream stream, instant now);
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -13,16 +13,15 @@
 /// Keys are held for at most ten seconds, so nothing is left to be taken back after this time.
 constexpr milliseconds GONE_MEMORY{30000};
 
-/// Leaving owners of keys still get requests for this time, until their keys have moved. A leaving
-/// target must get none 2 s after it said so, and it takes up to 0.9 s until every instance reads
-/// it.
-constexpr milliseconds LEAVING_OWNER_TIME{600};
+/// Part of the drain time in which leaving owners of keys still get requests, until their keys have
+/// moved. The rest is for reading of it, which takes up to 1.3 s of 2 s.
+constexpr int OWNER_TIME_PERCENT = 30;
 
 } // namespace
 
 instant target_directory::listed_target::ownerUntil() const
 {
-    return isLeaving() ? leavingSince + LEAVING_OWNER_TIME : instant::max();
+    return isLeaving() ? leavingSince + ownerTime : instant::max();
 }
 
 dispatch_target target_directory::listed_target::forDispatch() const
@@ -30,6 +29,10 @@
     return {entry.id, entry.dataCentre, entry.slots, isLeaving(), entry.coldFor, ownerUntil()};
 }
 
+target_directory::target_directory(milliseconds drain)
+    : m_ownerTime(drain * OWNER_TIME_PERCENT / 100)
+{ }
+
 bool target_directory::isRecovering(instant now) const
 {
     return !m_isStoreReachable || (m_outageEnd != instant{} && now < m_outageEnd + RELIST_TIME);
@@ -40,6 +43,7 @@
     m_pendingRemovals.erase(entry.id);
     const auto [place, isNew] = m_targets.try_emplace(entry.id);
     auto &target = place->second;
+    target.ownerTime = m_ownerTime;
     auto shown = entry;
     // The remaining cold time changes with each heartbeat; only the first one counts.
     if (!isNew && target.entry.incarnation == entry.incarnation)
