A release names the token that the target holds

A release now names the token of the last accepted grant and counts only for it; tokens are unified only when nothing is to move. Ruled out: the takeover itself (its wait was kept).

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -113,8 +113,9 @@
         std::string handover;
         bool isStored = false;
         bool isAccepted = false; ///< The target accepted a grant with the present token.
-        bool isFenced = false;  ///< Orders of earlier coordinators can't reach the target any more.
-        bool isCalling = false; ///< An order is on its way.
+        bool isFenced = false; ///< Orders of earlier coordinators can't reach the target any more.
+        fence_number heldFence = 0; ///< Token of the last grant that the target accepted.
+        bool isCalling = false;     ///< An order is on its way.
         std::uint32_t failures = 0; ///< Grants without success since the last accepted one.
         instant heldUntil{};        ///< Latest end of any hold of the target.
         instant heldBeforeCall{};   ///< The same without the order on its way.
@@ -136,7 +137,8 @@
     void plan(instant now);
     std::vector<key_holder> availableHolders(instant now) const;
     void placeUnowned(instant now);
-    void unifyFences();
+    bool unifyFences();
+    static fence_number releaseFence(const owned_range &range);
     bool isFragmented() const;
     bool isAvailable(const key_holder &target, instant now) const;
     void assign(owned_range &range, const key_holder &target);
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -91,6 +91,7 @@
                 range.heldUntil = range.unansweredUntil;
             range.isAccepted = true;
             range.isFenced = true;
+            range.heldFence = order.fence;
             range.failures = 0;
             range.handover.clear();
             range.destination.clear();
@@ -131,7 +132,7 @@
     for (auto &range : m_ranges) {
         const auto &own = range.assignment;
         if (range.state != phase::Releasing || own.target != order.target
-            || own.fence != order.fence || !order.keys.overlaps(own.keys))
+            || releaseFence(range) != order.fence || !order.keys.overlaps(own.keys))
             continue;
         range.isCalling = false;
         if (result != order_result::Accepted) {
@@ -146,10 +147,18 @@
         }
         range.handover = handover;
         range.state = phase::Expiring;
-        range.heldUntil = range.unansweredUntil;
+        // A release may end only the grant with its own token.
+        if (range.heldFence == order.fence)
+            range.heldUntil = range.unansweredUntil;
     }
 }
 
+/// @return the token of the grant that a release is to end.
+fence_number key_coordinator::releaseFence(const owned_range &range)
+{
+    return range.heldFence != 0 ? range.heldFence : range.assignment.fence;
+}
+
 /// Grants the range to its leaving target, so that earlier coordinators can't renew after the
 /// release.
 void key_coordinator::fenceFirst(owned_range &range)
@@ -305,10 +314,9 @@
         return;
     const auto settled = settledAssignments();
     auto moves = m_planner.rebalance(availableHolders(now), settled, m_load);
-    if (moves.empty() && isFragmented()) {
-        unifyFences();
+    // Tokens are unified only if no range is to move, as a release needs the token that is held.
+    if (moves.empty() && isFragmented() && !unifyFences())
         moves = m_planner.consolidate(settled, m_load);
-    }
     for (const auto &move : moves)
         markReleasing(move);
 }
@@ -321,11 +329,14 @@
 
 /// Gives neighbouring ranges of one target a common token, so that they become one range. Their
 /// holds go on meanwhile: the target takes the new token with the next renewal.
-void key_coordinator::unifyFences()
+/// @return whether any token changed.
+bool key_coordinator::unifyFences()
 {
+    bool hasChanged = false;
     const auto isSettled = [](const owned_range &range) {
         return range.state == phase::Assigned && range.isAccepted && range.isStored
-                && !range.isCalling && range.destination.empty();
+                && !range.isCalling && range.destination.empty()
+                && range.heldFence == range.assignment.fence;
     };
     for (std::size_t first = 0; first < m_ranges.size();) {
         std::size_t end = first + 1;
@@ -337,11 +348,14 @@
             for (auto index = first; index < end; ++index) {
                 m_ranges[index].assignment.fence = fence;
                 m_ranges[index].isStored = false;
+                m_ranges[index].nextCall = instant{};
             }
             m_isDirty = true;
+            hasChanged = true;
         }
         first = end;
     }
+    return hasChanged;
 }
 
 void key_coordinator::assign(owned_range &range, const key_holder &target)
@@ -354,6 +368,7 @@
     range.isStored = false;
     range.isAccepted = false;
     range.isFenced = false;
+    range.heldFence = 0;
     range.isCalling = false;
     range.failures = 0;
     range.heldUntil = instant{};
@@ -404,8 +419,9 @@
             && left.assignment.target == right.assignment.target
             && left.assignment.fence == right.assignment.fence
             && left.isAccepted == right.isAccepted && left.isFenced == right.isFenced
-            && left.isStored == right.isStored && !left.isCalling && !right.isCalling
-            && left.handover == right.handover && left.destination == right.destination;
+            && left.heldFence == right.heldFence && left.isStored == right.isStored
+            && !left.isCalling && !right.isCalling && left.handover == right.handover
+            && left.destination == right.destination;
 }
 
 void key_coordinator::mergeNeighbours()
@@ -435,7 +451,7 @@
             continue;
         range.isCalling = true;
         actions.releases.push_back(
-                {range.assignment.target, range.assignment.keys, range.assignment.fence});
+                {range.assignment.target, range.assignment.keys, releaseFence(range)});
     }
 }
 
@@ -470,7 +486,9 @@
 {
     std::vector<range_assignment> result;
     for (const auto &range : m_ranges) {
-        if (range.state == phase::Assigned && range.isAccepted)
+        // A range whose new token has not reached its target yet is still changing.
+        if (range.state == phase::Assigned && range.isAccepted
+            && range.heldFence == range.assignment.fence)
             result.push_back(range.assignment);
     }
     return result;
--- a/tests/keymodel/keymodel.h
+++ b/tests/keymodel/keymodel.h
@@ -99,6 +99,7 @@
     void inject();
     void step();
     void stepInstance(std::size_t index);
+    void noteRequests(key_coordinator &coordinator);
     void readStore(std::size_t index);
     void claim(std::size_t index);
     void store(std::size_t index, const ownership_record &record);
