--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -26,6 +26,13 @@
         /// @return until when the target may get requests for keys that it owns, while these move.
         instant ownerUntil() const;
 
+        /// @param isKeyed whether only the owner of the request's key may run it.
+        /// @return whether a request may be sent to the target.
+        bool mayTake(bool isKeyed, instant now) const
+        {
+            return !isLeaving() || (isKeyed && now < ownerUntil());
+        }
+
         /// @return the target for a dispatcher.
         dispatch_target forDispatch() const;
     };
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -134,10 +134,13 @@
     }
     // A target that started lately may not be listed here yet; the coordinator told its address.
     const auto *listed = m_around.targets.find(decision.target);
-    const bool isLeaving = listed && boot_clock::now() >= listed->ownerUntil();
+    // A coordinator that is cut from the store may place requests by an old list.
+    const bool isLeaving = listed && !listed->mayTake(m_isKeyed, boot_clock::now());
     if (isLeaving || address.port == 0 || timeLeft() <= milliseconds(0)) {
         reportRun(run_result::NotUsed, std::nullopt);
         ++m_unsentTries;
+        m_target = target_entry{};
+        m_target.id = decision.target;
         onFailure(run_result::NotSent, isLeaving ? "target_leaving" : "target_unknown");
         return;
     }
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds COORDINATOR_WAIT{1000};
 /// Entries of targets change all the time, so they are read at intervals: below the drain time of
 /// 2 s, and faster where places are given out. Others are told where to send each request.
-constexpr milliseconds TARGETS_INTERVAL{1300};
+constexpr milliseconds TARGETS_INTERVAL{900};
 constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{350};
 /// Owners of keys matter to others only while a coordinator is silent; a new coordinator is read of
 /// at once when the old one falls silent.
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds GONE_MEMORY{30000};
 
 /// Part of the drain time in which leaving owners of keys still get requests, until their keys have
-/// moved. The rest is for reading of it, which takes up to 1.3 s of 2 s.
+/// moved. The rest is for reading of it, which takes up to 0.9 s of 2 s.
 constexpr int OWNER_TIME_PERCENT = 30;
 
 } // namespace
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -408,6 +408,22 @@
     BOOST_CHECK(directory.find("i-1")->ownerUntil() == until);
 }
 
+// A coordinator that was cut from the store placed requests at leaving targets (lakeshore,
+// hunt-ed11-19); the instance that sends them goes by its own list.
+BOOST_AUTO_TEST_CASE(leaving_target_takes_only_requests_for_its_keys_and_not_for_long)
+{
+    target_directory directory(seconds(2));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    BOOST_CHECK(directory.find("i-1")->mayTake(false, START));
+    entry.isDraining = true;
+    directory.update(entry, START);
+    const auto &leaving = *directory.find("i-1");
+    BOOST_CHECK(!leaving.mayTake(false, START + milliseconds(1)));
+    BOOST_CHECK(leaving.mayTake(true, START + milliseconds(1)));
+    BOOST_CHECK(!leaving.mayTake(true, START + milliseconds(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(settings_problems_name_the_field)
 {
     const auto text = [](const std::string &name, const std::string &value) {
