Let strong instances coordinate; read the store only where it is needed

Cause: on the grown sites a service's coordinator was any of 76 instances, mostly with a tenth of a core. Ruled out: loss of datagrams at full links (no link near its rate), the loop's lag of askers (no lag was logged). Change: small instances stand for coordination only while a coordinator is missing for 2.5 s; instances that only enter requests read targets every 8 s, and at short intervals while a coordinator is silent or tells that its list is old; a replaced coordinator says so; a new one starts from a fresh list of targets.

--- a/include/clementinebeam/gateway/gatewaysettings.h
+++ b/include/clementinebeam/gateway/gatewaysettings.h
@@ -20,6 +20,8 @@
     network_address metricsListener;
     network_address store;
     std::uint32_t storeParts = 1; ///< Parts that the store gives each topic.
+    /// Share of a processor that the process may use; decides whether it coordinates services.
+    double processorShare = 1.0;
     service_bounds bounds;
 };
 
--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -56,6 +56,9 @@
     /// Tells whether the last read of the store succeeded.
     void setStoreReachable(bool isReachable, instant now);
 
+    /// @return whether the last read of the store succeeded.
+    bool isStoreReachable() const { return m_isStoreReachable; }
+
     /// Carries out removals that were put off, and forgets targets that are long gone.
     /// @return whether anything changed.
     bool advance(instant now);
--- /dev/null
+++ b/src/gateway/internal/candidacy.cpp
@@ -0,0 +1,49 @@
+#include "internal/candidacy.h"
+
+#include <algorithm>
+
+namespace clementinebeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Share of a processor that carries a service's placement traffic: measured, a coordinator of
+/// 1,350 requests a second uses 0.06 of a processor on average and a multiple of it in bursts.
+constexpr double STRONG_SHARE = 0.2;
+/// A lost coordinator's membership lasts 1.4 s; then a stronger candidate claims within a second.
+constexpr milliseconds RESERVE_DELAY{2500};
+/// An absence that nothing confirmed for this long is over.
+constexpr milliseconds ABSENCE_MEMORY{2000};
+/// Hysteresis: a reserve that won no service goes on standing for this time.
+constexpr milliseconds STANDING_TIME{5000};
+
+} // namespace
+
+candidacy::candidacy(double processorShare)
+    : m_isStrong(processorShare >= STRONG_SHARE)
+{ }
+
+void candidacy::noteMissing(const service_name &service, instant now)
+{
+    const auto [place, isNew] = m_missing.try_emplace(service, absence{now, now});
+    auto &item = place->second;
+    if (!isNew && now > item.lastSeen + ABSENCE_MEMORY)
+        item.since = now;
+    item.lastSeen = now;
+}
+
+bool candidacy::shouldStand(bool isCoordinating, instant now)
+{
+    if (m_isStrong)
+        return true;
+    const bool isNeeded = std::any_of(m_missing.begin(), m_missing.end(), [now](const auto &item) {
+        const auto &absence = item.second;
+        return now <= absence.lastSeen + ABSENCE_MEMORY && now >= absence.since + RESERVE_DELAY;
+    });
+    if (isNeeded || isCoordinating)
+        m_standsUntil = now + STANDING_TIME;
+    return now < m_standsUntil;
+}
+
+} // namespace clementinebeam
--- /dev/null
+++ b/src/gateway/internal/candidacy.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "clementinebeam/kernel/bootclock.h"
+#include "clementinebeam/kernel/identifiers.h"
+
+#include <chrono>
+#include <map>
+
+namespace clementinebeam {
+
+/// Decides whether an instance stands for the coordination of services.
+///
+/// Answers deployments of instances of unlike size: a coordinator handles datagrams for every
+/// request of its service, which fills a small instance's share of a processor, so that it answers
+/// late and others take it for silent. Instances with a large enough share stand at once. Smaller
+/// ones stand only while a coordinator is missing for longer than a takeover among the larger ones
+/// takes. Reads no clock.
+class candidacy
+{
+public:
+    /// @param processorShare the instance's share of a processor.
+    explicit candidacy(double processorShare);
+
+    /// A coordinator did not answer, is not known, or has lost its connection to the store.
+    void noteMissing(const service_name &service, instant now);
+
+    /// A coordinator answered and is in contact with the store.
+    void noteAnswer(const service_name &service) { m_missing.erase(service); }
+
+    /// @param isCoordinating whether this instance coordinates a service.
+    /// @return whether this instance should be in the group of candidates now.
+    bool shouldStand(bool isCoordinating, instant now);
+
+private:
+    /// A time in which a coordinator was missing again and again.
+    struct absence {
+        instant since;
+        instant lastSeen;
+    };
+
+    const bool m_isStrong;
+    std::map<service_name, absence> m_missing;
+    instant m_standsUntil{};
+};
+
+} // namespace clementinebeam
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -22,27 +22,66 @@
 coordination::coordination(environment around)
     : m_around(std::move(around))
     , m_memberName(m_around.peerAddress + '/' + std::to_string(m_around.processRun))
+    , m_candidacy(m_around.processorShare)
     , m_joinTimer(m_around.context)
     , m_retryTimer(m_around.context)
 { }
 
 void coordination::start()
 {
-    join();
+    updateCandidacy();
 }
 
 void coordination::leave()
 {
     m_isLeaving = true;
+    if (m_isStanding)
+        leaveGroup();
+}
+
+void coordination::leaveGroup()
+{
+    m_isStanding = false;
     m_joinTimer.cancel();
+    m_parts.clear();
+    m_generation = 0;
     m_around.store.leaveCoordinators(m_memberName, [] {});
 }
 
+void coordination::noteCoordinatorMissing(const service_name &service)
+{
+    m_candidacy.noteMissing(service, boot_clock::now());
+    updateCandidacy();
+}
+
+void coordination::updateCandidacy()
+{
+    if (m_isLeaving)
+        return;
+    const auto now = boot_clock::now();
+    for (const auto &service : m_services) {
+        if (m_isEndKnown && !record(service.name) && hasTargets(service.name))
+            m_candidacy.noteMissing(service.name, now);
+    }
+    const bool shouldStand = m_candidacy.shouldStand(isCoordinating(), now);
+    if (shouldStand == m_isStanding)
+        return;
+    log_line(log_level::Info, shouldStand ? "candidacy_begun" : "candidacy_ended")
+            .add("processor_share", m_around.processorShare)
+            .add("coordinating", m_coordinated.size());
+    if (!shouldStand) {
+        leaveGroup();
+        return;
+    }
+    m_isStanding = true;
+    join();
+}
+
 void coordination::scheduleJoin(milliseconds delay)
 {
     m_joinTimer.expires_after(delay);
     m_joinTimer.async_wait([this](boost::system::error_code error) {
-        if (!error && !m_isLeaving)
+        if (!error && m_isStanding)
             join();
     });
 }
@@ -51,15 +90,18 @@
 {
     m_around.store.joinCoordinators(
             m_memberName, m_generation, MEMBERSHIP_LIFETIME, [this](const membership &result) {
-                if (m_isLeaving)
+                if (!m_isStanding)
                     return;
                 m_around.metrics.countStoreCall("join", nameOf(result.failure));
                 if (result.failure == store_failure::None) {
                     const std::set<std::uint32_t> parts(result.parts.begin(), result.parts.end());
-                    if (parts != m_parts)
+                    if (parts != m_parts) {
                         log_line(log_level::Info, "coordination_parts_changed")
                                 .add("generation", result.generation)
                                 .add("parts", parts.size());
+                        // A claim has to start from the newest record.
+                        m_around.onProofWanted();
+                    }
                     m_generation = result.generation;
                     m_parts = parts;
                     considerClaims();
@@ -114,16 +156,21 @@
         const auto *known = record(service.name);
         if (!isResponsibleFor(service.name) || (known && isOwn(*known)))
             continue;
-        const auto &targets = m_around.targets.targets();
-        const bool hasTargets = std::any_of(targets.begin(), targets.end(), [&](const auto &item) {
-            return item.second.entry.service == service.name;
-        });
-        if (hasTargets)
+        if (hasTargets(service.name))
             m_unstored.insert(service.name);
+        else
+            m_around.onTargetsWanted();
     }
     storeNext();
 }
 
+bool coordination::hasTargets(const service_name &service) const
+{
+    const auto &targets = m_around.targets.targets();
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const auto &item) { return item.second.entry.service == service; });
+}
+
 ownership_record coordination::claimOf(const routed_service &service) const
 {
     ownership_record claim;
@@ -191,6 +238,8 @@
             .add("claim", isClaim ? 1 : 0)
             .add("end", m_end)
             .add("error", nameOf(outcome.failure));
+    if (outcome.failure == store_failure::Conflict)
+        m_around.onProofWanted();
     // What became of it shows in the stream; until then the same place is tried again.
     m_unstored.insert(record.service);
     m_retryTimer.expires_after(APPEND_RETRY);
@@ -256,6 +305,7 @@
                         record, isKeyed, m_around.bounds, claimedAt, m_succession[record.service]));
         place->second->setStoreReachable(m_isStoreReachable);
         place->second->start();
+        m_around.onTargetsWanted();
     }
     if (isNewCoordinator)
         m_around.onCoordinatorChanged(record.service);
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -2,6 +2,7 @@
 
 #include "clementinebeam/gateway/iclusterstore.h"
 #include "clementinebeam/gateway/routetable.h"
+#include "internal/candidacy.h"
 #include "internal/coordinatedservice.h"
 
 #include <deque>
@@ -27,12 +28,15 @@
         service_bounds bounds;
         std::string peerAddress;      ///< Where other instances ask this one for places.
         std::uint64_t processRun = 0; ///< Tells runs of this process apart.
+        double processorShare = 1.0;
         /// Takes decisions about requests of a service.
         std::function<void(const service_name &, const dispatch_decision &)> onDecision;
         /// Called when the coordinator of a service has changed.
         std::function<void(const service_name &)> onCoordinatorChanged;
         /// Called when the ownership stream should be read at once.
         std::function<void()> onProofWanted;
+        /// Called when the list of targets has to be fresh.
+        std::function<void()> onTargetsWanted;
     };
 
     explicit coordination(environment around);
@@ -50,6 +54,15 @@
                      instant askedAt);
     void setStoreReachable(bool isReachable);
 
+    /// Takes that the coordinator of a service did not answer or is cut from the store.
+    void noteCoordinatorMissing(const service_name &service);
+
+    /// Takes that the coordinator of a service answered and is in contact with the store.
+    void noteCoordinatorAnswer(const service_name &service) { m_candidacy.noteAnswer(service); }
+
+    /// Joins the group of candidates or leaves it, as the instance is needed there.
+    void updateCandidacy();
+
     bool isCoordinating() const { return !m_coordinated.empty(); }
 
     /// @return the service's coordination by this instance, or null.
@@ -66,6 +79,8 @@
 
 private:
     void join();
+    void leaveGroup();
+    bool hasTargets(const service_name &service) const;
     void scheduleJoin(std::chrono::milliseconds delay);
     void considerClaims();
     ownership_record claimOf(const routed_service &service) const;
@@ -78,6 +93,8 @@
 
     environment m_around;
     std::string m_memberName;
+    candidacy m_candidacy;
+    bool m_isStanding = false; ///< In the group of candidates, or joining it.
     boost::asio::steady_timer m_joinTimer;
     boost::asio::steady_timer m_retryTimer;
     std::vector<routed_service> m_services;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -53,16 +53,16 @@
     , m_placement(context, m_channel, m_targets)
     , m_coordination(
               {context, store, format, m_targets, m_metrics, m_settings.bounds,
-               settings.peerListener.text(), makeSystemSeededSource()(),
+               settings.peerListener.text(), makeSystemSeededSource()(), settings.processorShare,
                [this](const service_name &service, const dispatch_decision &decision) {
                    m_placement.onDecision(service, decision);
                },
                [this](const service_name &service) { m_placement.onCoordinatorChanged(service); },
-               [this] { m_feeds.prove(); }})
+               [this] { m_feeds.prove(); }, [this] { m_feeds.followTargets(); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
     , m_lag(context)
-    , m_exchangeEnvironment{context, format,    m_targets, m_placement,
-                            m_pool,  m_metrics, m_lag,     settings.dataCentre}
+    , m_exchangeEnvironment{context,   format, m_placement,        m_pool,
+                            m_metrics, m_lag,  settings.dataCentre}
     , m_readiness(format.readinessPath(), [this] { return readinessPage(); })
     , m_metricsPages("/metrics", [this] { return metricsPage(); })
     , m_callers(context, *this)
@@ -72,7 +72,9 @@
     , m_stopTimer(context)
 {
     m_placement.setCoordination(&m_coordination);
-    m_placement.setStalenessHandler([this](store_stream stream) { m_feeds.refresh(stream); });
+    m_placement.setStalenessHandler([this](store_stream stream) { onStale(stream); });
+    m_placement.setTargetAge(
+            [this] { return m_feeds.age(store_stream::Targets, boot_clock::now()); });
 }
 
 std::error_code gateway::start()
@@ -140,6 +142,7 @@
     const auto now = boot_clock::now();
     m_pool.closeIdle(now);
     m_coordination.setStoreReachable(m_feeds.isStoreReachable());
+    m_coordination.updateCandidacy();
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         log_line(log_level::Info, "readiness_changed")
@@ -216,6 +219,14 @@
     m_coordination.setServices(m_routes->configuration().services);
 }
 
+void gateway::onStale(store_stream stream)
+{
+    if (stream == store_stream::Targets)
+        m_feeds.followTargets();
+    else
+        m_feeds.refresh(stream);
+}
+
 void gateway::onTargetsChanged()
 {
     m_placement.updateTargets();
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -60,6 +60,7 @@
 
 private:
     bool isReady() const;
+    void onStale(store_stream stream);
     void scheduleUpkeep();
     void upkeep();
     void waitForIdle(std::function<void()> done);
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr value_range<std::int64_t> PORT_RANGE{1, 65535};
 constexpr value_range<std::int64_t> PARTS_RANGE{1, 1024};
+constexpr value_range<double> PROCESSOR_SHARE_RANGE{0.001, 1024.0};
 
 /// Reads "IP:port".
 network_address readAddress(settings_reader &reader, const std::string &field)
@@ -109,6 +110,7 @@
     readInternalPorts(reader, settings);
     settings.store = readAddress(reader, "store");
     reader.readInteger("store_parts", settings.storeParts, PARTS_RANGE);
+    reader.readReal("processor_share", settings.processorShare, PROCESSOR_SHARE_RANGE);
     readBounds(reader, settings.bounds, problems);
     reader.finish();
     if (!problems.empty())
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -21,6 +21,14 @@
 constexpr std::uint32_t SILENT_MESSAGES = 3;
 /// How long a silent coordinator is not asked.
 constexpr milliseconds SILENCE_TIME{700};
+/// Age of a coordinator's list of targets from which it counts as cut from the store; it reads the
+/// list three times a second.
+constexpr milliseconds MAX_VIEW_AGE{900};
+/// Alone, an instance places requests only by a list that is well within the targets' drain time;
+/// it waits a short time for one that is being read.
+constexpr milliseconds MAX_LIST_AGE_ALONE{1200};
+constexpr milliseconds LIST_WAIT{25};
+constexpr std::uint32_t MAX_LIST_WAITS = 12;
 constexpr milliseconds REPORT_AGAIN{70};
 constexpr std::uint32_t MAX_REPORTS = 5;
 /// Alone, an instance gives each target one request at a time: others do the same.
@@ -150,11 +158,8 @@
                 .add("coordinator", peer->address().to_string())
                 .add("unanswered", item->unanswered);
         m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
-        if (m_onStale)
-            m_onStale(store_stream::Coordination);
-        // Until a coordinator answers, this instance has to know itself which targets leave.
-        if (m_onStale)
-            m_onStale(store_stream::Targets);
+        m_onStale(store_stream::Coordination);
+        noteMissing(item->service);
         decideAlone(item);
         return;
     }
@@ -216,6 +221,13 @@
 
 void placement_client::decideAlone(const pending_pointer &item)
 {
+    const bool isListOld = m_targets.isStoreReachable() && m_targetAge() > MAX_LIST_AGE_ALONE;
+    if (isListOld && item->listWaits < MAX_LIST_WAITS) {
+        ++item->listWaits;
+        m_onStale(store_stream::Targets);
+        askLater(item, LIST_WAIT);
+        return;
+    }
     item->timer.cancel();
     m_placed[item->request.token] = {decider::Alone, {}};
     dispatch_decisions decisions;
@@ -250,13 +262,22 @@
     });
 }
 
+bool placement_client::isLeaving(const dispatch_decision &decision, bool isKeyed) const
+{
+    const auto *listed = m_targets.find(decision.target);
+    return listed && !listed->mayTake(isKeyed, boot_clock::now());
+}
+
 void placement_client::finish(const dispatch_decision &decision)
 {
     const auto *listed = m_targets.find(decision.target);
-    finish(decision, listed ? listed->entry.address : network_address{});
+    const auto found = m_pending.find(decision.token);
+    const bool isKeyed = found != m_pending.end() && found->second->request.key.has_value();
+    finish(decision,
+           {listed ? listed->entry.address : network_address{}, isLeaving(decision, isKeyed)});
 }
 
-void placement_client::finish(const dispatch_decision &decision, const network_address &address)
+void placement_client::finish(const dispatch_decision &decision, const placement &where)
 {
     const auto found = m_pending.find(decision.token);
     if (found == m_pending.end())
@@ -266,7 +287,7 @@
     item->timer.cancel();
     if (decision.target.empty())
         m_placed.erase(decision.token);
-    item->done(decision, address);
+    item->done(decision, where);
 }
 
 void placement_client::onDecision(const service_name &service, const dispatch_decision &decision)
@@ -358,6 +379,7 @@
 void placement_client::sendPlacement(const udp_endpoint &peer, placement_message message)
 {
     message.configuration = m_configuration;
+    message.targetAgeMs = m_targetAge().count();
     if (const auto *listed = m_targets.find(message.target)) {
         message.targetHost = listed->entry.address.host;
         message.targetPort = listed->entry.address.port;
@@ -367,7 +389,7 @@
 
 void placement_client::compareConfiguration(std::uint64_t version)
 {
-    if (version > m_configuration && m_onStale)
+    if (version > m_configuration)
         m_onStale(store_stream::Configuration);
 }
 
@@ -382,14 +404,19 @@
         takeEnded(peer, *ended);
     else if (const auto *ack = std::get_if<ended_ack_message>(&message))
         takeEndedAck(*ack);
+    else if (const auto *refusal = std::get_if<not_coordinator_message>(&message))
+        takeNotCoordinator(*refusal);
 }
 
 void placement_client::takePlaceRequest(const udp_endpoint &peer, const place_message &message)
 {
     compareConfiguration(message.configuration);
     auto *own = m_coordination->coordinated(message.service);
-    if (!own)
-        return; // The asker learns from the store who coordinates now.
+    if (!own) {
+        // The asker learns from the store who coordinates now.
+        m_channel.send(peer, not_coordinator_message{message.service, message.token});
+        return;
+    }
     if (m_askers.size() >= MAX_ASKERS)
         m_askers.clear(); // Askers that ended without a report; those that live ask again.
     m_askers[message.token] = peer;
@@ -410,6 +437,7 @@
 void placement_client::takePlacement(const udp_endpoint &peer, const placement_message &message)
 {
     compareConfiguration(message.configuration);
+    noteCoordinatorView(message);
     const auto found = m_pending.find(message.token);
     if (found == m_pending.end()) {
         // Decided otherwise meanwhile: the place goes back, unless it is the one in use.
@@ -440,7 +468,36 @@
     decision.queueLength = message.queueLength;
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
-    finish(decision, {message.targetHost, message.targetPort});
+    // A coordinator that is cut from the store may place requests by an old list.
+    const bool isOwnListNewer = m_targetAge() < milliseconds(message.targetAgeMs);
+    const bool isKeyed = item->request.key.has_value();
+    finish(decision,
+           {{message.targetHost, message.targetPort},
+            isOwnListNewer && isLeaving(decision, isKeyed)});
+}
+
+void placement_client::noteMissing(const service_name &service)
+{
+    m_coordination->noteCoordinatorMissing(service);
+    // This instance has to know itself which targets leave.
+    m_onStale(store_stream::Targets);
+}
+
+void placement_client::noteCoordinatorView(const placement_message &message)
+{
+    if (milliseconds(message.targetAgeMs) > MAX_VIEW_AGE)
+        noteMissing(message.service);
+    else
+        m_coordination->noteCoordinatorAnswer(message.service);
+}
+
+void placement_client::takeNotCoordinator(const not_coordinator_message &message)
+{
+    const auto found = m_pending.find(message.token);
+    if (found == m_pending.end())
+        return;
+    log_line(log_level::Info, "coordinator_replaced").add("service", message.service);
+    m_onStale(store_stream::Coordination);
 }
 
 void placement_client::takeEnded(const udp_endpoint &peer, const ended_message &message)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -19,9 +19,14 @@
 class placement_client
 {
 public:
-    /// Takes the decision and, for a placed request, where its target listens.
-    using decision_handler =
-            std::function<void(const dispatch_decision &, const network_address &)>;
+    /// Where a placed request's target listens, as far as is known.
+    struct placement {
+        network_address address; ///< Port 0 if it is not known.
+        bool isLeaving = false;  ///< This instance knows better that it gets no more requests.
+    };
+
+    /// Takes the decision and, for a placed request, where to send it.
+    using decision_handler = std::function<void(const dispatch_decision &, const placement &)>;
 
     placement_client(boost::asio::io_context &context, peer_channel &channel,
                      const target_directory &targets);
@@ -34,6 +39,12 @@
 
     void setStalenessHandler(staleness_handler handler) { m_onStale = std::move(handler); }
 
+    /// @param age tells how long ago this instance's list of targets was up to date.
+    void setTargetAge(std::function<std::chrono::milliseconds()> age)
+    {
+        m_targetAge = std::move(age);
+    }
+
     /// Takes the version of the configuration in force here.
     void setConfigurationVersion(std::uint64_t version) { m_configuration = version; }
 
@@ -74,6 +85,7 @@
         decision_handler done;
         boost::asio::steady_timer timer;
         std::uint32_t unanswered = 0; ///< Messages to the coordinator without an answer.
+        std::uint32_t listWaits = 0;  ///< Delays for a fresh list of targets.
     };
 
     /// Decisions that are made alone for one service.
@@ -106,7 +118,10 @@
     local_service &local(const service_name &service);
     void updateLocal(const service_name &service, local_service &item);
     void finish(const dispatch_decision &decision);
-    void finish(const dispatch_decision &decision, const network_address &address);
+    void finish(const dispatch_decision &decision, const placement &where);
+    bool isLeaving(const dispatch_decision &decision, bool isKeyed) const;
+    void noteMissing(const service_name &service);
+    void noteCoordinatorView(const placement_message &message);
     void sendReport(const std::shared_ptr<unconfirmed_report> &item);
     bool isSilent(const udp_endpoint &peer) const;
     std::optional<udp_endpoint> coordinatorOf(const service_name &service) const;
@@ -116,12 +131,14 @@
     void takePlacement(const udp_endpoint &peer, const placement_message &message);
     void takeEnded(const udp_endpoint &peer, const ended_message &message);
     void takeEndedAck(const ended_ack_message &message);
+    void takeNotCoordinator(const not_coordinator_message &message);
 
     boost::asio::io_context &m_context;
     peer_channel &m_channel;
     const target_directory &m_targets;
     coordination *m_coordination = nullptr;
     staleness_handler m_onStale;
+    std::function<std::chrono::milliseconds()> m_targetAge;
     std::uint64_t m_configuration = 0;
     request_token m_nextToken;
     std::unordered_map<request_token, pending_pointer> m_pending;
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -43,12 +43,25 @@
     std::int64_t waitedUs = 0;
     std::uint32_t queueLength = 0;
     std::uint64_t configuration = 0; ///< Version in force at the sender.
+    std::int64_t targetAgeMs = 0;    ///< Since the sender's list of targets was up to date.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
-                queueLength, configuration);
+                queueLength, configuration, targetAgeMs);
+    }
+};
+
+/// Answers a place_message: the sender does not coordinate the service any more.
+struct not_coordinator_message {
+    service_name service;
+    request_token token = 0;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service, token);
     }
 };
 
@@ -81,7 +94,7 @@
     }
 };
 
-using peer_message =
-        std::variant<place_message, placement_message, ended_message, ended_ack_message>;
+using peer_message = std::variant<place_message, placement_message, ended_message,
+                                  ended_ack_message, not_coordinator_message>;
 
 } // namespace clementinebeam
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -105,18 +105,19 @@
     request.deadline = m_deadline;
     request.dataCentre = m_around.dataCentre;
     request.excluded = m_failedTarget;
-    const auto token =
-            m_around.placement.place(m_service, std::move(request),
-                                     [self = shared_from_this()](const dispatch_decision &decision,
-                                                                 const network_address &address) {
-                                         self->onDecision(decision, address);
-                                     });
+    const auto token = m_around.placement.place(
+            m_service, std::move(request),
+            [self = shared_from_this()](const dispatch_decision &decision,
+                                        const placement_client::placement &where) {
+                self->onDecision(decision, where);
+            });
     // The decision may have come at once, and with it the next stage.
     if (m_stage == stage::Placing)
         m_token = token;
 }
 
-void request_exchange::onDecision(const dispatch_decision &decision, const network_address &address)
+void request_exchange::onDecision(const dispatch_decision &decision,
+                                  const placement_client::placement &where)
 {
     m_token = decision.token;
     if (m_stage != stage::Placing)
@@ -132,22 +133,18 @@
                    decision.retryAfter);
         return;
     }
-    // A target that started lately may not be listed here yet; the coordinator told its address.
-    const auto *listed = m_around.targets.find(decision.target);
-    // A coordinator that is cut from the store may place requests by an old list.
-    const bool isLeaving = listed && !listed->mayTake(m_isKeyed, boot_clock::now());
-    if (isLeaving || address.port == 0 || timeLeft() <= milliseconds(0)) {
+    if (where.isLeaving || where.address.port == 0 || timeLeft() <= milliseconds(0)) {
         reportRun(run_result::NotUsed, std::nullopt);
         ++m_unsentTries;
         m_target = target_entry{};
         m_target.id = decision.target;
-        onFailure(run_result::NotSent, isLeaving ? "target_leaving" : "target_unknown");
+        onFailure(run_result::NotSent, where.isLeaving ? "target_leaving" : "target_unknown");
         return;
     }
     target_entry target;
     target.id = decision.target;
     target.service = m_service;
-    target.address = address;
+    target.address = where.address;
     send(target);
 }
 
--- a/src/gateway/internal/requestexchange.h
+++ b/src/gateway/internal/requestexchange.h
@@ -18,7 +18,6 @@
 struct exchange_environment {
     boost::asio::io_context &context;
     const i_message_format &format;
-    const target_directory &targets;
     placement_client &placement;
     target_pool &pool;
     gateway_metrics &metrics;
@@ -53,7 +52,7 @@
     };
 
     void place();
-    void onDecision(const dispatch_decision &decision, const network_address &address);
+    void onDecision(const dispatch_decision &decision, const placement_client::placement &where);
     void send(const target_entry &target);
     void onAnswer(exchange_failure failure, http_answer &&answer);
     void judge(http_answer &&answer, const answer_context &context);
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -15,13 +15,17 @@
 constexpr milliseconds OWNERSHIP_WAIT{8000};
 /// A coordinator proves its right with each read, and has to see a successor soon.
 constexpr milliseconds COORDINATOR_WAIT{1000};
-/// Entries of targets change all the time, so they are read at intervals: below the drain time of
-/// 2 s, and faster where places are given out. Others are told where to send each request.
-constexpr milliseconds TARGETS_INTERVAL{900};
+/// Entries of targets change all the time, so they are read at intervals: fast where places are
+/// given out, below the drain time of 2 s where the coordinator can't be relied on.
 constexpr milliseconds COORDINATOR_TARGETS_INTERVAL{350};
+constexpr milliseconds FOLLOWED_TARGETS_INTERVAL{900};
+/// Other instances are told with each placement where to send the request.
+constexpr milliseconds IDLE_TARGETS_INTERVAL{8000};
+/// How long targets are read at short intervals after the last sign that this is needed.
+constexpr milliseconds FOLLOW_TIME{3000};
 /// Owners of keys matter to others only while a coordinator is silent; a new coordinator is read of
-/// at once when the old one falls silent.
-constexpr milliseconds OWNERSHIP_PAUSE{1800};
+/// at once when the old one falls silent or says that it has been replaced.
+constexpr milliseconds OWNERSHIP_PAUSE{8000};
 constexpr milliseconds COORDINATOR_OWNERSHIP_PAUSE{120};
 /// Proofs of the coordinator's right that are asked for within this time are one read.
 constexpr milliseconds PROOF_INTERVAL{60};
@@ -105,6 +109,16 @@
     read(item);
 }
 
+void store_feeds::followTargets()
+{
+    const auto now = boot_clock::now();
+    m_followUntil = now + FOLLOW_TIME;
+    // The next read may have been scheduled for much later.
+    const auto due = std::max(now, m_targetFeed.askedAt + pauseOf(m_targetFeed));
+    if (!m_isStopped && !m_targetFeed.isReading && due < m_targetFeed.dueAt)
+        schedule(m_targetFeed, std::chrono::duration_cast<milliseconds>(due - now));
+}
+
 void store_feeds::prove()
 {
     const auto askedAt = boot_clock::now();
@@ -147,7 +161,10 @@
     const bool isCoordinating = m_listener.isCoordinating();
     switch (item.stream) {
     case store_stream::Targets:
-        return isCoordinating ? COORDINATOR_TARGETS_INTERVAL : TARGETS_INTERVAL;
+        if (isCoordinating)
+            return COORDINATOR_TARGETS_INTERVAL;
+        return boot_clock::now() < m_followUntil ? FOLLOWED_TARGETS_INTERVAL
+                                                 : IDLE_TARGETS_INTERVAL;
     case store_stream::Coordination:
         return isCoordinating ? COORDINATOR_OWNERSHIP_PAUSE : OWNERSHIP_PAUSE;
     case store_stream::Configuration:
@@ -166,6 +183,7 @@
 {
     if (m_isStopped)
         return;
+    item.dueAt = boot_clock::now() + delay;
     item.timer.expires_after(delay);
     item.timer.async_wait([this, &item](boost::system::error_code error) {
         if (!error && !m_isStopped)
@@ -173,12 +191,21 @@
     });
 }
 
+/// After a long time the newest entries are fewer than all changes since the last read.
+bool store_feeds::isWholeRead(const feed &item) const
+{
+    const bool isLongAgo = item.stream == store_stream::Targets
+            && boot_clock::now() > item.confirmedAt + FOLLOWED_TARGETS_INTERVAL * 2;
+    return !item.isPositioned || isLongAgo;
+}
+
 void store_feeds::read(feed &item)
 {
     const auto askedAt = boot_clock::now();
     const auto number = ++item.reads;
-    const bool isWhole = !item.isPositioned;
+    const bool isWhole = isWholeRead(item);
     item.askedAt = askedAt;
+    item.isReading = true;
     const auto done = [this, &item, number, askedAt, isWhole](const store_batch &batch) {
         if (number == item.reads)
             onBatch(item, batch, askedAt, isWhole);
@@ -223,6 +250,7 @@
     if (m_isStopped)
         return;
     const auto now = boot_clock::now();
+    item.isReading = false;
     m_metrics.countStoreCall(isWhole ? "read_newest" : "read", nameOf(batch.failure));
     noteReachable(item, batch.failure);
     if (item.stream == store_stream::Targets)
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -45,6 +45,10 @@
     /// present read may hang; not more often than a few times a second.
     void refresh(store_stream stream);
 
+    /// Reads the targets now and for some seconds at short intervals, as when this instance has to
+    /// know itself which targets leave.
+    void followTargets();
+
     /// Reads the ownership stream without waiting for news, as soon as reads that were already
     /// asked for this purpose are answered.
     void prove();
@@ -70,12 +74,14 @@
         boost::asio::steady_timer timer;
         std::uint64_t next = 0;
         bool isPositioned = false; ///< next is known; else the newest records are read first.
+        bool isReading = false;
         bool isReachable = false;
         bool wasComplete = false;
         std::uint32_t failures = 0;
         std::uint64_t reads =
                 0; ///< Number of the present read; answers to earlier ones are dropped.
         instant askedAt{};
+        instant dueAt{}; ///< When the next read is scheduled.
         instant confirmedAt{};
     };
 
@@ -90,6 +96,7 @@
     void schedule(feed &item, std::chrono::milliseconds delay);
     std::chrono::milliseconds waitOf(const feed &item) const;
     std::chrono::milliseconds pauseOf(const feed &item) const;
+    bool isWholeRead(const feed &item) const;
     std::chrono::milliseconds backoff(const feed &item) const;
     void noteReachable(feed &item, store_failure failure);
     feed &feedOf(store_stream stream);
@@ -104,7 +111,8 @@
     feed m_ownership;
     bool m_isProving = false;
     instant m_provedAt{};
-    instant m_lostAt{}; ///< First failed read of targets since the last success; zero if none.
+    instant m_followUntil{}; ///< Targets are read at short intervals until then.
+    instant m_lostAt{};      ///< First failed read of targets since the last success; zero if none.
     bool m_isStopped = false;
 };
 
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -442,6 +442,7 @@
             {"/store", "\"host:1\""},
             {"/first_internal_port", "0"},
             {"/store_parts", "\"many\""},
+            {"/processor_share", "0"},
             {"/bounds/drain", "\"later\""},
             {"/bounds/retry_share", "-1"},
             {"/stray", "1"}};
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -51,15 +51,17 @@
             .dump();
 }
 
-gateway_settings settingsOf()
+/// @param offset of the instance's ports from those of the first one.
+gateway_settings settingsOf(std::uint16_t offset = 0)
 {
+    const std::uint16_t port = GATEWAY_PORT + offset;
     gateway_settings settings;
     settings.instance = "i1";
     settings.dataCentre = "p";
-    settings.callerListener = {HOST, GATEWAY_PORT};
-    settings.readinessListener = {HOST, GATEWAY_PORT + 1};
-    settings.peerListener = {HOST, GATEWAY_PORT + 2};
-    settings.metricsListener = {HOST, GATEWAY_PORT + 3};
+    settings.callerListener = {HOST, port};
+    settings.readinessListener = {HOST, static_cast<std::uint16_t>(port + 1)};
+    settings.peerListener = {HOST, static_cast<std::uint16_t>(port + 2)};
+    settings.metricsListener = {HOST, static_cast<std::uint16_t>(port + 3)};
     settings.store = {HOST, STORE_PORT};
     settings.storeParts = 8;
     return settings;
@@ -113,15 +115,15 @@
         return call;
     }
 
-    std::shared_ptr<client_connection> connect()
+    std::shared_ptr<client_connection> connect(std::uint16_t port = GATEWAY_PORT)
     {
-        return std::make_shared<client_connection>(context, local(GATEWAY_PORT), milliseconds(500));
+        return std::make_shared<client_connection>(context, local(port), milliseconds(500));
     }
 
-    http_answer ask(http_call call)
+    http_answer ask(http_call call, std::uint16_t port = GATEWAY_PORT)
     {
         std::optional<http_answer> result;
-        const auto connection = connect();
+        const auto connection = connect(port);
         connection->exchange(std::move(call), {},
                              [&](exchange_failure failure, http_answer &&answer) {
                                  BOOST_CHECK(failure == exchange_failure::None);
@@ -359,3 +361,29 @@
         run(milliseconds(100));
     BOOST_CHECK(isStopped);
 }
+
+BOOST_FIXTURE_TEST_CASE(small_instance_enters_requests_and_leaves_coordination_to_larger_ones,
+                        whole_path)
+{
+    constexpr std::uint16_t OFFSET = 10;
+    auto settings = settingsOf(OFFSET);
+    settings.processorShare = 0.1;
+    store_client client(context, local(STORE_PORT), 8);
+    const platform_codec codec;
+    gateway small(context, settings, client, codec);
+    BOOST_REQUIRE(!small.start());
+    run(milliseconds(300));
+    const auto joinsBefore = store.calls("/log-join");
+    const auto readsBefore = store.calls("/log-read") + store.calls("/log-newest");
+    for (int request = 0; request < 4; ++request) {
+        auto call = whole_path::request(http::verb::get, "/key/x", "id-" + std::to_string(request));
+        call.set("X-Clementinebeam-Shard-Key", "4711");
+        BOOST_CHECK_EQUAL(ask(std::move(call), GATEWAY_PORT + OFFSET).result_int(), 200U);
+        run(milliseconds(500));
+    }
+    // Two seconds: the coordinator joins every 0.4 s; it reads targets every 0.35 s and ownership
+    // every second, and the small instance reads nothing.
+    BOOST_CHECK_LE(store.calls("/log-join") - joinsBefore, 6);
+    BOOST_CHECK_LE(store.calls("/log-read") + store.calls("/log-newest") - readsBefore, 10);
+    BOOST_CHECK_EQUAL(keyed.requests().size(), 4U);
+}
