Keep a coordinator that answers; put keys in the log lines of requests

Ruled out: lost members (their lifetime was kept), conflicts of appends (they only delay). Change: a new holder claims only if the coordinator does not answer, is cut from the store, is leaving, or is a small instance while the holder is a large one.

--- a/src/gateway/internal/candidacy.cpp
+++ b/src/gateway/internal/candidacy.cpp
@@ -33,6 +33,12 @@
     item.lastSeen = now;
 }
 
+bool candidacy::isMissing(const service_name &service, instant now) const
+{
+    const auto found = m_missing.find(service);
+    return found != m_missing.end() && now <= found->second.lastSeen + ABSENCE_MEMORY;
+}
+
 bool candidacy::shouldStand(bool isCoordinating, instant now)
 {
     if (m_isStrong)
--- a/src/gateway/internal/candidacy.h
+++ b/src/gateway/internal/candidacy.h
@@ -27,6 +27,12 @@
     /// A coordinator answered and is in contact with the store.
     void noteAnswer(const service_name &service) { m_missing.erase(service); }
 
+    /// @return whether the coordinator has been silent lately and has not answered since.
+    bool isMissing(const service_name &service, instant now) const;
+
+    /// @return whether this instance has a large share of a processor.
+    bool isStrong() const { return m_isStrong; }
+
     /// @param isCoordinating whether this instance coordinates a service.
     /// @return whether this instance should be in the group of candidates now.
     bool shouldStand(bool isCoordinating, instant now);
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -25,6 +25,7 @@
     , m_candidacy(m_around.processorShare)
     , m_joinTimer(m_around.context)
     , m_retryTimer(m_around.context)
+    , m_claimTimer(m_around.context)
 { }
 
 void coordination::start()
@@ -154,7 +155,7 @@
         return;
     for (const auto &service : m_services) {
         const auto *known = record(service.name);
-        if (!isResponsibleFor(service.name) || (known && isOwn(*known)))
+        if (!isResponsibleFor(service.name) || (known && (isOwn(*known) || !mayReplace(*known))))
             continue;
         if (hasTargets(service.name))
             m_unstored.insert(service.name);
@@ -164,6 +165,43 @@
     storeNext();
 }
 
+coordination::coordinator_rank coordination::rank() const
+{
+    if (m_isLeaving)
+        return coordinator_rank::Leaving;
+    return m_candidacy.isStrong() ? coordinator_rank::Large : coordinator_rank::Small;
+}
+
+void coordination::noteCoordinatorAnswer(const service_name &service, coordinator_rank rank)
+{
+    m_candidacy.noteAnswer(service);
+    if (rank >= this->rank()) {
+        m_incumbents.noteAnswer(service, boot_clock::now());
+        return;
+    }
+    m_incumbents.noteYielding(service);
+    if (isResponsibleFor(service))
+        considerClaims();
+}
+
+/// @return whether the coordinator of a service that this instance is responsible for is silent or
+///     wishes to be replaced.
+bool coordination::mayReplace(const ownership_record &known)
+{
+    const auto now = boot_clock::now();
+    const bool isMissing = m_candidacy.isMissing(known.service, now);
+    const auto verdict = m_incumbents.judge(known.service, known.term, isMissing, now);
+    if (verdict == incumbent_watch::verdict::Ask) {
+        m_around.onQueryWanted(known.service);
+        m_claimTimer.expires_after(incumbent_watch::PATIENCE);
+        m_claimTimer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                considerClaims();
+        });
+    }
+    return verdict == incumbent_watch::verdict::Claim;
+}
+
 bool coordination::hasTargets(const service_name &service) const
 {
     const auto &targets = m_around.targets.targets();
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -4,6 +4,7 @@
 #include "clementinebeam/gateway/routetable.h"
 #include "internal/candidacy.h"
 #include "internal/coordinatedservice.h"
+#include "internal/incumbentwatch.h"
 
 #include <deque>
 #include <set>
@@ -19,6 +20,13 @@
 class coordination
 {
 public:
+    /// Which instances may replace a coordinator that lives: those of a higher rank.
+    enum class coordinator_rank : std::uint8_t {
+        Leaving, ///< The process is ending.
+        Small,   ///< The instance has a small share of a processor.
+        Large,
+    };
+
     struct environment {
         boost::asio::io_context &context;
         i_cluster_store &store;
@@ -37,6 +45,8 @@
         std::function<void()> onProofWanted;
         /// Called when the list of targets has to be fresh.
         std::function<void()> onTargetsWanted;
+        /// Called when the coordinator of a service is to be asked whether it lives.
+        std::function<void(const service_name &)> onQueryWanted;
     };
 
     explicit coordination(environment around);
@@ -58,7 +68,11 @@
     void noteCoordinatorMissing(const service_name &service);
 
     /// Takes that the coordinator of a service answered and is in contact with the store.
-    void noteCoordinatorAnswer(const service_name &service) { m_candidacy.noteAnswer(service); }
+    /// @param rank the coordinator's.
+    void noteCoordinatorAnswer(const service_name &service, coordinator_rank rank);
+
+    /// @return this instance's rank as a coordinator.
+    coordinator_rank rank() const;
 
     /// Joins the group of candidates or leaves it, as the instance is needed there.
     void updateCandidacy();
@@ -83,6 +97,7 @@
     bool hasTargets(const service_name &service) const;
     void scheduleJoin(std::chrono::milliseconds delay);
     void considerClaims();
+    bool mayReplace(const ownership_record &known);
     ownership_record claimOf(const routed_service &service) const;
     bool isResponsibleFor(const service_name &service) const;
     void storeNext();
@@ -94,9 +109,11 @@
     environment m_around;
     std::string m_memberName;
     candidacy m_candidacy;
+    incumbent_watch m_incumbents;
     bool m_isStanding = false; ///< In the group of candidates, or joining it.
     boost::asio::steady_timer m_joinTimer;
     boost::asio::steady_timer m_retryTimer;
+    boost::asio::steady_timer m_claimTimer;
     std::vector<routed_service> m_services;
     std::set<std::uint32_t> m_parts;
     std::uint64_t m_generation = 0;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -58,7 +58,8 @@
                    m_placement.onDecision(service, decision);
                },
                [this](const service_name &service) { m_placement.onCoordinatorChanged(service); },
-               [this] { m_feeds.prove(); }, [this] { m_feeds.followTargets(); }})
+               [this] { m_feeds.prove(); }, [this] { m_feeds.followTargets(); },
+               [this](const service_name &service) { m_placement.queryCoordinator(service); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
     , m_lag(context)
     , m_exchangeEnvironment{context,   format, m_placement,        m_pool,
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -380,6 +380,7 @@
 {
     message.configuration = m_configuration;
     message.targetAgeMs = m_targetAge().count();
+    message.rank = static_cast<std::uint8_t>(m_coordination->rank());
     if (const auto *listed = m_targets.find(message.target)) {
         message.targetHost = listed->entry.address.host;
         message.targetPort = listed->entry.address.port;
@@ -406,6 +407,25 @@
         takeEndedAck(*ack);
     else if (const auto *refusal = std::get_if<not_coordinator_message>(&message))
         takeNotCoordinator(*refusal);
+    else if (const auto *query = std::get_if<coordinator_query_message>(&message))
+        takeQuery(peer, *query);
+}
+
+void placement_client::queryCoordinator(const service_name &service)
+{
+    if (const auto peer = coordinatorOf(service))
+        m_channel.send(*peer, coordinator_query_message{service});
+}
+
+void placement_client::takeQuery(const udp_endpoint &peer, const coordinator_query_message &message)
+{
+    if (!m_coordination->coordinated(message.service)) {
+        m_channel.send(peer, not_coordinator_message{message.service, 0});
+        return;
+    }
+    placement_message answer;
+    answer.service = message.service;
+    sendPlacement(peer, answer);
 }
 
 void placement_client::takePlaceRequest(const udp_endpoint &peer, const place_message &message)
@@ -487,14 +507,14 @@
 {
     if (milliseconds(message.targetAgeMs) > MAX_VIEW_AGE)
         noteMissing(message.service);
-    else
-        m_coordination->noteCoordinatorAnswer(message.service);
+    else if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large))
+        m_coordination->noteCoordinatorAnswer(
+                message.service, static_cast<coordination::coordinator_rank>(message.rank));
 }
 
 void placement_client::takeNotCoordinator(const not_coordinator_message &message)
 {
-    const auto found = m_pending.find(message.token);
-    if (found == m_pending.end())
+    if (message.token != 0 && !m_pending.contains(message.token))
         return;
     log_line(log_level::Info, "coordinator_replaced").add("service", message.service);
     m_onStale(store_stream::Coordination);
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -55,6 +55,9 @@
     request_token place(const service_name &service, dispatch_request request,
                         decision_handler done);
 
+    /// Asks the coordinator of a service whether it lives.
+    void queryCoordinator(const service_name &service);
+
     /// Reports the end of a placed request, or withdraws a waiting one.
     void report(const service_name &service, const run_report &report);
 
@@ -131,6 +134,7 @@
     void takePlacement(const udp_endpoint &peer, const placement_message &message);
     void takeEnded(const udp_endpoint &peer, const ended_message &message);
     void takeEndedAck(const ended_ack_message &message);
+    void takeQuery(const udp_endpoint &peer, const coordinator_query_message &message);
     void takeNotCoordinator(const not_coordinator_message &message);
 
     boost::asio::io_context &m_context;
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -44,16 +44,29 @@
     std::uint32_t queueLength = 0;
     std::uint64_t configuration = 0; ///< Version in force at the sender.
     std::int64_t targetAgeMs = 0;    ///< Since the sender's list of targets was up to date.
+    std::uint8_t rank = 0;           ///< Of the sender as a coordinator.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
-                queueLength, configuration, targetAgeMs);
+                queueLength, configuration, targetAgeMs, rank);
     }
 };
 
-/// Answers a place_message: the sender does not coordinate the service any more.
+/// Asks whether the receiver coordinates a service; answered with a placement_message without a
+/// token, or a not_coordinator_message.
+struct coordinator_query_message {
+    service_name service;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(service);
+    }
+};
+
+/// Answers a place_message or a query: the sender does not coordinate the service any more.
 struct not_coordinator_message {
     service_name service;
     request_token token = 0;
@@ -94,7 +107,8 @@
     }
 };
 
-using peer_message = std::variant<place_message, placement_message, ended_message,
-                                  ended_ack_message, not_coordinator_message>;
+using peer_message =
+        std::variant<place_message, placement_message, ended_message, ended_ack_message,
+                     not_coordinator_message, coordinator_query_message>;
 
 } // namespace clementinebeam
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -337,11 +337,11 @@
 {
     const auto total = boot_clock::now() - m_arrival;
     m_around.metrics.countRequest(m_rule.name, outcome, reason, total);
-    log_line(log_level::Info, "request_ended")
-            .add("request", m_context.requestId)
-            .add("route", m_rule.name)
-            .add("service", m_service)
-            .add("outcome", outcome)
+    log_line line(log_level::Info, "request_ended");
+    line.add("request", m_context.requestId).add("route", m_rule.name).add("service", m_service);
+    if (m_isKeyed && m_context.key)
+        line.add("key", *m_context.key);
+    line.add("outcome", outcome)
             .add("reason", reason)
             .add("status", status)
             .add("target", m_target.id)
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -264,7 +264,7 @@
     auto table = tableOf(holders, ranges, load);
     auto planned = ranges;
     std::vector<range_move> moves;
-    while (moves.size() < MAX_MOVES) {
+    while (moves.size() < std::max(MAX_MOVES, holders.size())) {
         const auto move = planMove(table, planned, load);
         if (!move)
             break;
