Leave a coordinator that is cut from the store; place nothing by old lists of targets

Cause of the first, from the states of key ranges that coordinators now log (trial in a scratch copy): a replaced coordinator that the store refuses goes on for up to 10 s; its holds run out, and instances that read ownership only every 8 s kept asking it. They now read ownership when a coordinator tells that its list is old. Cause of the second, inferred from the code: the first placements of a coordinator with an old list came to instances whose own list was old too (up to 8 s); the place is now held until the own list has been read, for 300 ms at most. Claims wait for a fresh list as well. Ruled out: late appends (they failed at once), targets that refuse grants (the successor served all keys within 0.5 s).

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -68,6 +68,13 @@
     /// @return whether the right to act has run out.
     bool isExpired(instant now) const { return now >= m_rightSeenAt + m_settings.rightDuration; }
 
+    /// @return the remaining time of the right to act; negative if it has run out.
+    std::chrono::milliseconds rightLeft(instant now) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_rightSeenAt + m_settings.rightDuration - now);
+    }
+
     void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
 
     /// Counts a request for a key.
@@ -96,6 +103,9 @@
     /// @return a number that rises whenever served() may have changed.
     std::uint64_t revision() const { return m_revision; }
 
+    /// @return how many ranges are in which state.
+    key_summary summary(instant now) const;
+
     std::size_t rangeCount() const { return m_ranges.size(); }
     std::uint64_t moveCount() const { return m_moveCount; }
 
--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -111,6 +111,16 @@
     bool wantsStore = false; ///< record() is to be stored.
 };
 
+/// How many ranges of the key space are in which state.
+struct key_summary {
+    std::size_t served = 0;        ///< With an owner that accepted its grant.
+    std::size_t awaitingStore = 0; ///< Assigned; the assignment is not stored yet.
+    std::size_t awaitingGrant = 0; ///< Assigned and stored; the owner has not accepted.
+    std::size_t releasing = 0;     ///< Being taken back.
+    std::size_t expiring = 0;      ///< Given back; a hold may still be in force.
+    std::size_t unowned = 0;       ///< No target can own them at present.
+};
+
 /// Keys without an owner, and when they are expected to have one.
 struct unserved_range {
     key_range keys;
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -249,6 +249,18 @@
     m_around.metrics.setKeys(m_name, served, KEY_COUNT - served);
     m_around.metrics.countKeyMoves(m_name, m_keys->moveCount() - m_reportedMoves);
     m_reportedMoves = m_keys->moveCount();
+    const auto ranges = m_keys->summary(now);
+    log_line(log_level::Info, "keys_summary")
+            .add("service", m_name)
+            .add("term", m_record.term)
+            .add("unserved_keys", KEY_COUNT - served)
+            .add("served", ranges.served)
+            .add("awaiting_store", ranges.awaitingStore)
+            .add("awaiting_grant", ranges.awaitingGrant)
+            .add("releasing", ranges.releasing)
+            .add("expiring", ranges.expiring)
+            .add("unowned", ranges.unowned)
+            .add("right_left_ms", m_keys->rightLeft(now).count());
 }
 
 void coordinated_service::schedule()
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -16,6 +16,9 @@
 /// Three calls within the lifetime, so that a lost one does no harm.
 constexpr milliseconds JOIN_INTERVAL{400};
 constexpr milliseconds APPEND_RETRY{150};
+/// Age of the list of targets up to which a claim may rest on it; targets register anew within a
+/// second of their start.
+constexpr milliseconds MAX_LIST_AGE{1000};
 
 } // namespace
 
@@ -157,7 +160,8 @@
         const auto *known = record(service.name);
         if (!isResponsibleFor(service.name) || (known && (isOwn(*known) || !mayReplace(*known))))
             continue;
-        if (hasTargets(service.name))
+        // A claim by an old list would take ranges from targets that have started since.
+        if (isListFresh() && hasTargets(service.name))
             m_unstored.insert(service.name);
         else
             m_around.onTargetsWanted();
@@ -202,6 +206,11 @@
     return verdict == incumbent_watch::verdict::Claim;
 }
 
+bool coordination::isListFresh() const
+{
+    return !m_around.targets.isStoreReachable() || m_around.targetAge() <= MAX_LIST_AGE;
+}
+
 bool coordination::hasTargets(const service_name &service) const
 {
     const auto &targets = m_around.targets.targets();
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -45,6 +45,8 @@
         std::function<void()> onProofWanted;
         /// Called when the list of targets has to be fresh.
         std::function<void()> onTargetsWanted;
+        /// Tells how long ago the list of targets was up to date.
+        std::function<std::chrono::milliseconds()> targetAge;
         /// Called when the coordinator of a service is to be asked whether it lives.
         std::function<void(const service_name &)> onQueryWanted;
     };
@@ -95,6 +97,7 @@
     void join();
     void leaveGroup();
     bool hasTargets(const service_name &service) const;
+    bool isListFresh() const;
     void scheduleJoin(std::chrono::milliseconds delay);
     void considerClaims();
     bool mayReplace(const ownership_record &known);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -59,6 +59,7 @@
                },
                [this](const service_name &service) { m_placement.onCoordinatorChanged(service); },
                [this] { m_feeds.prove(); }, [this] { m_feeds.followTargets(); },
+               [this] { return m_feeds.age(store_stream::Targets, boot_clock::now()); },
                [this](const service_name &service) { m_placement.queryCoordinator(service); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
     , m_lag(context)
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -158,7 +158,6 @@
                 .add("coordinator", peer->address().to_string())
                 .add("unanswered", item->unanswered);
         m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
-        m_onStale(store_stream::Coordination);
         noteMissing(item->service);
         decideAlone(item);
         return;
@@ -219,12 +218,21 @@
         updateLocal(service, item);
 }
 
-void placement_client::decideAlone(const pending_pointer &item)
+/// @return whether a request has to wait for a fresh list of targets; its timer is then set.
+bool placement_client::waitForList(const pending_pointer &item)
 {
     const bool isListOld = m_targets.isStoreReachable() && m_targetAge() > MAX_LIST_AGE_ALONE;
-    if (isListOld && item->listWaits < MAX_LIST_WAITS) {
-        ++item->listWaits;
-        m_onStale(store_stream::Targets);
+    if (!isListOld || item->listWaits >= MAX_LIST_WAITS)
+        return false;
+    ++item->listWaits;
+    m_onStale(store_stream::Targets);
+    item->timer.expires_after(LIST_WAIT);
+    return true;
+}
+
+void placement_client::decideAlone(const pending_pointer &item)
+{
+    if (waitForList(item)) {
         askLater(item, LIST_WAIT);
         return;
     }
@@ -479,6 +487,15 @@
         askLater(item, WAITING_INTERVAL);
         return;
     }
+    // Neither the coordinator's list of targets nor the own one may show that the target leaves.
+    const bool isViewOld = milliseconds(message.targetAgeMs) > MAX_VIEW_AGE;
+    if (!message.target.empty() && isViewOld && waitForList(item)) {
+        item->timer.async_wait([this, peer, message](boost::system::error_code error) {
+            if (!error)
+                takePlacement(peer, message);
+        });
+        return;
+    }
     dispatch_decision decision;
     decision.token = message.token;
     decision.target = message.target;
@@ -499,8 +516,10 @@
 void placement_client::noteMissing(const service_name &service)
 {
     m_coordination->noteCoordinatorMissing(service);
-    // This instance has to know itself which targets leave.
+    // This instance has to know itself which targets leave and who coordinates next. A coordinator
+    // that is cut from the store goes on for a while after it was replaced.
     m_onStale(store_stream::Targets);
+    m_onStale(store_stream::Coordination);
 }
 
 void placement_client::noteCoordinatorView(const placement_message &message)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -115,6 +115,7 @@
 
     void ask(const pending_pointer &item);
     void askLater(const pending_pointer &item, std::chrono::milliseconds delay);
+    bool waitForList(const pending_pointer &item);
     void decideAlone(const pending_pointer &item);
     void advanceLocal(const service_name &service);
     void scheduleLocal(const service_name &service);
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -33,7 +33,7 @@
 constexpr milliseconds MIN_PAUSE{60};
 constexpr milliseconds FIRST_BACKOFF{150};
 constexpr milliseconds MAX_BACKOFF{800};
-constexpr milliseconds MIN_REFRESH_INTERVAL{300};
+constexpr milliseconds MIN_REFRESH_INTERVAL{400};
 /// Failed reads in a row after which the store counts as away.
 constexpr std::uint32_t AWAY_FAILURES = 2;
 
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -68,9 +68,7 @@
 
 milliseconds key_coordinator::holdTime(instant now) const
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(m_rightSeenAt
-                                                               + m_settings.rightDuration - now);
-    return std::min(m_settings.hold, left);
+    return std::min(m_settings.hold, rightLeft(now));
 }
 
 void key_coordinator::onGrantResult(const grant_order &order, order_result result, instant now)
@@ -511,6 +509,31 @@
     return result;
 }
 
+key_summary key_coordinator::summary(instant now) const
+{
+    key_summary counts;
+    for (const auto &range : m_ranges) {
+        switch (range.state) {
+        case phase::Unowned:
+            ++counts.unowned;
+            break;
+        case phase::Releasing:
+            ++counts.releasing;
+            break;
+        case phase::Expiring:
+            ++counts.expiring;
+            break;
+        case phase::Assigned:
+            if (range.isAccepted && now < range.heldUntil)
+                ++counts.served;
+            else
+                ++(range.isStored ? counts.awaitingGrant : counts.awaitingStore);
+            break;
+        }
+    }
+    return counts;
+}
+
 std::vector<unserved_range> key_coordinator::unserved(instant now) const
 {
     std::vector<unserved_range> result;
