Take in all records before anything is stored after them

Logs of the four gateways: term 5 was claimed on the base of a record of term 4 that a replaced coordinator had stored after the claims of terms 5 and 6. Cause: a batch of the ownership stream brought the coordinator's own record and its successor's claim. On the first of them it stored what had changed meanwhile, conditional on the batch's end, which was known already although the claim before it had not been taken in. Ruled out: the stand-in's conditional append, late or repeated appends (each index of the stream was accounted for by the instances' lines). Change: nothing is stored while records are taken in, and the end counts only after them. Also, a claim now ends the absence of a coordinator, which let a fresh one be replaced within two seconds.

--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -242,7 +242,7 @@
 
 void coordination::storeNext()
 {
-    if (m_isAppending || m_unstored.empty() || !m_isEndKnown)
+    if (m_isAppending || m_isTakingIn || m_unstored.empty() || !m_isEndKnown)
         return;
     const auto name = *m_unstored.begin();
     m_unstored.erase(m_unstored.begin());
@@ -299,10 +299,14 @@
 void coordination::onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
                                instant askedAt)
 {
-    m_end = std::max(m_end, end);
-    m_isEndKnown = true;
+    // Nothing may be stored at the new end before all that leads up to it has been taken in: the
+    // records may begin with an own one and go on with a successor's claim.
+    m_isTakingIn = true;
     for (const auto &record : records)
         take(record, askedAt);
+    m_isTakingIn = false;
+    m_end = std::max(m_end, end);
+    m_isEndKnown = true;
     for (const auto &[name, service] : m_coordinated)
         service->confirmRight(askedAt);
     considerClaims();
@@ -321,6 +325,9 @@
     if (known && isNewCoordinator)
         m_succession[record.service].emplace(known->term, boot_clock::now());
     m_records[record.service] = record;
+    // A claim is a sign of life.
+    if (isNewCoordinator)
+        m_candidacy.noteAnswer(record.service);
     if (!isOwn(record)) {
         resign(record.service, record);
     } else if (auto *service = coordinated(record.service)) {
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -127,6 +127,7 @@
     std::uint64_t m_end = 0;           ///< Where the ownership stream ends, as far as is known.
     bool m_isEndKnown = false;
     bool m_isAppending = false;
+    bool m_isTakingIn = false; ///< Records up to a new end are being taken in.
     bool m_isStoreReachable = true;
     bool m_isLeaving = false;
 };
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -170,6 +170,8 @@
     const auto keySize = static_cast<unsigned char>(body.at(LENGTH_BYTES));
     records.push_back(
             {body.substr(LENGTH_BYTES + 1, keySize), body.substr(LENGTH_BYTES + 1 + keySize)});
+    if (m_onAppend)
+        m_onAppend(records.back().key, records.back().value);
     return makeOwnAnswer(200, json{{"offset", records.size() - 1}, {"end", records.size()}}.dump());
 }
 
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -32,6 +32,12 @@
     /// @param isAway whether calls stay without an answer.
     void setAway(bool isAway) { setFault(isAway ? store_fault::Away : store_fault::None); }
 
+    /// @param observer called with the key and the value of each record that is appended.
+    void setAppendObserver(std::function<void(const std::string &, const std::string &)> observer)
+    {
+        m_onAppend = std::move(observer);
+    }
+
     void setFault(store_fault fault) { m_fault = fault; }
 
     /// Drops a key as the store does with targets that have left.
@@ -74,6 +80,7 @@
     std::vector<waiting_read> m_waiting;
     std::map<std::string, int> m_calls;
     store_fault m_fault = store_fault::None;
+    std::function<void(const std::string &, const std::string &)> m_onAppend;
     std::uint64_t m_generation = 0;
     std::map<std::string, std::chrono::steady_clock::time_point> m_members; ///< With their ends.
 };
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -46,6 +46,9 @@
     std::filesystem::create_directories(m_folder);
     if (const auto error = m_store.listen(local(STORE_PORT)))
         m_history.addViolation("the store can't listen: " + error.message());
+    m_store.setAppendObserver([this](const std::string &service, const std::string &bytes) {
+        checkRecord(service, bytes);
+    });
     for (const auto &[service, count, isKeyed] :
          {std::tuple(OLD_READS, 2, false), std::tuple(NEW_READS, 2, false),
           std::tuple(std::string("orders"), 3, false), std::tuple(std::string("keyed"), 4, true)}) {
@@ -57,6 +60,24 @@
         addInstance(number);
 }
 
+void soak_system::checkRecord(const std::string &service, const std::string &bytes)
+{
+    const auto record = decodeBinary<ownership_record>(bytes);
+    if (!record) {
+        m_history.addViolation("an unreadable ownership record of " + service + " was stored");
+        return;
+    }
+    const auto &stored = record.value();
+    auto &newest = m_records[service];
+    if (stored.term < newest.term || stored.nextFence < newest.nextFence)
+        m_history.addViolation(
+                "a record of " + service + " with term " + std::to_string(stored.term)
+                + " and token " + std::to_string(stored.nextFence) + " was stored by "
+                + stored.coordinator + " after term " + std::to_string(newest.term) + " and token "
+                + std::to_string(newest.nextFence) + " by " + newest.coordinator);
+    newest = stored;
+}
+
 tcp_endpoint soak_system::local(std::size_t port) const
 {
     return {boost::asio::ip::make_address_v4(m_host), static_cast<std::uint16_t>(port)};
@@ -202,7 +223,8 @@
                 m_history.addViolation(process.name() + " ended with status "
                                        + std::to_string(process.exitStatus()));
             else if (!item.isStopping)
-                m_history.addViolation(process.name() + " ended by itself");
+                m_history.addViolation(process.name() + " ended by itself with status "
+                                       + std::to_string(process.exitStatus()));
             item.restartAt = now + milliseconds(300);
         }
         if (now < item.restartAt)
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chaosproxy.h"
+#include "clementinebeam/keyspace/keyspacetypes.h"
 #include "gatewayprocess.h"
 #include "runhistory.h"
 #include "soakcaller.h"
@@ -56,6 +57,7 @@
     void listTarget(std::size_t number, const std::string &phase);
     void publishConfiguration(std::uint64_t version, const std::string &readService);
     std::string settingsOf(std::size_t number) const;
+    void checkRecord(const std::string &service, const std::string &bytes);
     void superviseProcesses();
     void runFor(std::chrono::milliseconds time);
     void waitForService();
@@ -91,6 +93,7 @@
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::vector<std::string> m_faults;
     instant m_begin;
+    std::map<std::string, ownership_record> m_records; ///< Newest stored one by service.
     std::uint64_t m_version = 0;
     std::optional<std::size_t> m_calmlyStopped; ///< Instance in an otherwise calm graceful stop.
     bool m_isHealed = false;
