One reader of addresses and of text files; drop what has no caller

The command-line tools keep their own reader, as they take host names. Behaviour stays: an address that is malformed is reported as before. Tests: kerneltest network_addresses_are_an_ip_number_and_a_port; settings and adapter tests unchanged.

--- a/include/clementinebeam/http/httptypes.h
+++ b/include/clementinebeam/http/httptypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/kernel/networkaddress.h"
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -50,13 +51,4 @@
     std::string body;
 };
 
-/// IP address and port.
-struct network_address {
-    std::string host; ///< IP number.
-    std::uint16_t port = 0;
-
-    auto operator<=>(const network_address &) const = default;
-    std::string text() const { return host + ':' + std::to_string(port); }
-};
-
 } // namespace clementinebeam
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,12 +2,11 @@
 #include "clementinebeam/kernel/kernel.h"
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/kernel/stopsignals.h"
+#include "clementinebeam/kernel/textfile.h"
 #include "clementinebeam/observability/logline.h"
 
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <sstream>
 
 DEFINE_string(settings, "", "file with the instance's settings (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings and exit: 0 if they are valid, else 2");
@@ -20,19 +19,9 @@
 constexpr int EXIT_START_FAILED = 1;
 constexpr int EXIT_INVALID_SETTINGS = 2;
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::optional<daemon_settings> loadSettings()
 {
-    const auto text = readFile(FLAGS_settings);
+    const auto text = readTextFile(FLAGS_settings);
     if (!text) {
         std::cerr << "--settings: expected a readable file, found \"" << FLAGS_settings << "\"\n";
         return std::nullopt;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <charconv>
 
 namespace clementinebeam {
 
@@ -20,20 +19,12 @@
 {
     std::string text;
     reader.readText(field, text, true);
-    network_address address;
     if (text.empty())
-        return address;
-    const auto colon = text.rfind(':');
-    const auto portText = colon == std::string::npos ? std::string{} : text.substr(colon + 1);
-    address.host = text.substr(0, colon);
-    in_addr parsed{};
-    const auto *end = portText.data() + portText.size();
-    const auto [stop, error] = std::from_chars(portText.data(), end, address.port);
-    const bool isSound = inet_pton(AF_INET, address.host.c_str(), &parsed) == 1 && stop == end
-            && error == std::errc{} && address.port > 0;
-    if (!isSound)
+        return {};
+    const auto address = parseNetworkAddress(text);
+    if (!address)
         reader.report(field, "an IPv4 number and a port", '"' + text + '"');
-    return address;
+    return address.value_or(network_address{});
 }
 
 /// Reads a text such as "2000ms" or "6s".
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -1,10 +1,10 @@
 #include "internal/placementclient.h"
 
+#include "clementinebeam/kernel/networkaddress.h"
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <boost/asio/ip/address.hpp>
-#include <charconv>
 
 namespace clementinebeam {
 
@@ -41,17 +41,10 @@
 
 std::optional<udp_endpoint> parsePeer(const std::string &text)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    const auto address = parseNetworkAddress(text);
+    if (!address)
         return std::nullopt;
-    std::uint16_t port = 0;
-    const auto *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    boost::system::error_code addressError;
-    const auto address = boost::asio::ip::make_address_v4(text.substr(0, colon), addressError);
-    if (error != std::errc{} || stop != end || addressError)
-        return std::nullopt;
-    return udp_endpoint(address, port);
+    return udp_endpoint(boost::asio::ip::make_address_v4(address->host), address->port);
 }
 
 std::int64_t micros(boost::asio::steady_timer::duration value)
--- a/src/gateway/internal/targetpool.cpp
+++ b/src/gateway/internal/targetpool.cpp
@@ -80,14 +80,4 @@
     }
 }
 
-void target_pool::forget(const target_id &target)
-{
-    const auto found = m_idle.find(target);
-    if (found == m_idle.end())
-        return;
-    for (const auto &item : found->second)
-        item.connection->close();
-    m_idle.erase(found);
-}
-
 } // namespace clementinebeam
--- a/src/gateway/internal/targetpool.h
+++ b/src/gateway/internal/targetpool.h
@@ -17,9 +17,6 @@
     /// @return an idle connection, or a new one.
     std::shared_ptr<client_connection> take(const target_entry &target);
 
-    /// @return a connection that was never used; for calls that must not meet a silent one.
-    std::shared_ptr<client_connection> makeFresh(const target_entry &target);
-
     /// Keeps a connection for later, if it can be used again.
     /// @param idleTimeout how long the target keeps it, if it said so.
     void giveBack(const target_entry &target, const std::shared_ptr<client_connection> &connection,
@@ -28,10 +25,9 @@
     /// Closes connections that were idle for long; to be called every second or so.
     void closeIdle(instant now);
 
-    /// Closes connections to an address that no longer belongs to the target.
-    void forget(const target_id &target);
-
 private:
+    std::shared_ptr<client_connection> makeFresh(const target_entry &target);
+
     struct idle_connection {
         std::shared_ptr<client_connection> connection;
         network_address address;
--- a/src/gatewaydaemon/main.cpp
+++ b/src/gatewaydaemon/main.cpp
@@ -1,6 +1,7 @@
 #include "clementinebeam/gateway/gatewaymodule.h"
 #include "clementinebeam/gateway/gatewaysettings.h"
 #include "clementinebeam/kernel/kernel.h"
+#include "clementinebeam/kernel/textfile.h"
 #include "clementinebeam/observability/boundedlog.h"
 #include "clementinebeam/observability/logline.h"
 #include "platform/settingspath.h"
@@ -11,11 +12,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 DEFINE_string(settings, "", "file with the settings; the platform's file if empty");
 DEFINE_bool(check_settings, false, "check the settings and exit: 0 if they are valid, else 2");
@@ -34,16 +33,6 @@
     return FLAGS_settings.empty() ? platformSettingsPath() : FLAGS_settings;
 }
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Watches the settings file. Its values are used at the next start of the process; a change that
 /// could not be used then is reported at once.
 class settings_watch
@@ -58,7 +47,7 @@
 
     void check(const char *cause)
     {
-        const auto text = readFile(settingsPath());
+        const auto text = readTextFile(settingsPath());
         const bool isChanged = text && *text != m_text;
         const bool isAsked = std::string_view(cause) == "signal";
         if (!isChanged && !isAsked)
@@ -161,7 +150,7 @@
                             "  clementinebeam-gateway [--settings=FILE] [--check_settings]");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto text = readFile(settingsPath());
+    const auto text = readTextFile(settingsPath());
     if (!text) {
         std::cerr << "settings: expected a readable file, found \"" << settingsPath() << "\"\n";
         return EXIT_INVALID_SETTINGS;
--- a/tests/unit/kerneltest.cpp
+++ b/tests/unit/kerneltest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE kernel
 #include "clementinebeam/kernel/kernel.h"
 #include "clementinebeam/kernel/base64.h"
+#include "clementinebeam/kernel/networkaddress.h"
 #include "clementinebeam/kernel/orderedmutex.h"
 
 #include <boost/test/data/test_case.hpp>
@@ -84,3 +85,15 @@
     BOOST_TEST(!decodeBase64("abc").has_value());
     BOOST_TEST(!decodeBase64("ab!=").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(network_addresses_are_an_ip_number_and_a_port)
+{
+    const auto address = parseNetworkAddress("10.1.0.18:8381");
+    BOOST_REQUIRE(address.has_value());
+    BOOST_TEST(address->host == "10.1.0.18");
+    BOOST_TEST(address->port == 8381);
+    BOOST_TEST(address->text() == "10.1.0.18:8381");
+    for (const auto *text : {"", "10.1.0.18", "host:1", "10.1.0.18:", "10.1.0.18:0",
+                             "10.1.0.18:65536", "10.1.0.18:1x", ":80"})
+        BOOST_TEST(!parseNetworkAddress(text).has_value(), text);
+}
