Let claims catch up with a busy ownership stream; ask a coordinator that has gone rarely

Its claimer's appends were refused, as the coordinator of the keyed service stored a record of 1,167 ranges up to ten times a second. The claimer repeated them at the same end, and its proofs read from a position that only the regular reads advanced: an answer's half megabyte ended before the stream did. Meanwhile 195 instances asked the process that had restarted at the old address (up to 3,800 refusals a second), and read ownership up to 2.5 times a second each. Ruled out: no member with the part (coordination_parts_changed names one); candidates that were not chosen.

A refused append waits until the stream is taken in up to the end that the store named. A proof that is far behind reads the newest records, and proofs advance the position. A coordinator that says that it is none, and names no successor, counts as silent; owners are read at most every 1.5 s because of a silence. While the store refuses everything, reads of the configuration alone probe it.

Tests: storefeedstest proof_after_a_rest_..., store_that_is_away_...; coordinationstoretest refused_append_...; placementclienttest coordinator_that_restarted_...

--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -244,6 +244,11 @@
 {
     if (m_isAppending || m_isTakingIn || m_unstored.empty() || !m_isEndKnown)
         return;
+    // Another append at the same place would be refused again.
+    if (m_end < m_toldEnd) {
+        m_around.onProofWanted();
+        return;
+    }
     const auto name = *m_unstored.begin();
     m_unstored.erase(m_unstored.begin());
     ownership_record record;
@@ -285,8 +290,10 @@
             .add("claim", isClaim ? 1 : 0)
             .add("end", m_end)
             .add("error", nameOf(outcome.failure));
-    if (outcome.failure == store_failure::Conflict)
+    if (outcome.failure == store_failure::Conflict) {
+        m_toldEnd = std::max(m_toldEnd, outcome.end);
         m_around.onProofWanted();
+    }
     // What became of it shows in the stream; until then the same place is tried again.
     m_unstored.insert(record.service);
     m_retryTimer.expires_after(APPEND_RETRY);
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -124,7 +124,8 @@
     std::map<service_name, succession> m_succession;
     std::map<service_name, std::unique_ptr<coordinated_service>> m_coordinated;
     std::set<service_name> m_unstored; ///< Services whose record is to be stored.
-    std::uint64_t m_end = 0;           ///< Where the ownership stream ends, as far as is known.
+    std::uint64_t m_end = 0;           ///< Up to where the ownership stream was taken in.
+    std::uint64_t m_toldEnd = 0;       ///< End that the store named when it refused an append.
     bool m_isEndKnown = false;
     bool m_isAppending = false;
     bool m_isTakingIn = false; ///< Records up to a new end are being taken in.
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -40,6 +40,9 @@
 /// interval: a takeover takes two seconds.
 constexpr std::size_t ASKED_PEERS = 3;
 constexpr milliseconds PEER_INTERVAL{200};
+/// Owners of keys are read this often while a coordinator is missing: in a large fleet all instances
+/// read them at once, and peers tell of a successor.
+constexpr milliseconds OWNERSHIP_READ_INTERVAL{1500};
 /// Requests of other instances that are remembered.
 constexpr std::size_t MAX_ASKERS = 20000;
 
@@ -124,9 +127,9 @@
     return known ? std::optional(known->peer) : std::nullopt;
 }
 
-bool placement_client::isSilent(const udp_endpoint &peer) const
+bool placement_client::isSilent(const service_name &service) const
 {
-    const auto found = m_silentUntil.find(peer);
+    const auto found = m_silentUntil.find(service);
     return found != m_silentUntil.end() && boot_clock::now() < found->second;
 }
 
@@ -151,7 +154,7 @@
         return;
     }
     const auto peer = coordinatorOf(item->service);
-    if (!peer || isSilent(*peer)) {
+    if (!peer || isSilent(item->service)) {
         askPeers(item->service);
         decideAlone(item);
         return;
@@ -161,9 +164,7 @@
                 .add("service", item->service)
                 .add("coordinator", peer->address().to_string())
                 .add("unanswered", item->unanswered);
-        m_silentUntil[*peer] = boot_clock::now() + SILENCE_TIME;
-        noteMissing(item->service);
-        askPeers(item->service);
+        noteSilent(item->service);
         decideAlone(item);
         return;
     }
@@ -319,8 +320,8 @@
 {
     const auto *record = m_coordination->record(service);
     const auto peer = record ? parsePeer(record->coordinator) : std::nullopt;
-    if (peer)
-        m_coordinators.note(service, {record->term, *peer});
+    if (peer && m_coordinators.note(service, {record->term, *peer}))
+        m_silentUntil.erase(service);
     askAnew(service);
 }
 
@@ -422,7 +423,6 @@
 
 void placement_client::onMessage(const udp_endpoint &peer, const peer_message &message)
 {
-    m_silentUntil.erase(peer);
     m_peers.note(peer, boot_clock::now());
     if (const auto *place = std::get_if<place_message>(&message))
         takePlaceRequest(peer, *place);
@@ -482,6 +482,7 @@
 
 void placement_client::takePlacement(const udp_endpoint &peer, const placement_message &message)
 {
+    m_silentUntil.erase(message.service);
     compareConfiguration(message.configuration);
     notePeer(message.peer);
     noteCoordinatorView(message);
@@ -538,9 +539,21 @@
     // This instance has to know itself which targets leave and who coordinates next. A coordinator
     // that is cut from the store goes on for a while after it was replaced.
     m_onStale(store_stream::Targets);
+    const auto now = boot_clock::now();
+    if (now < m_nextOwnershipRead)
+        return;
+    m_nextOwnershipRead = now + OWNERSHIP_READ_INTERVAL;
     m_onStale(store_stream::Coordination);
 }
 
+/// Stops asking the coordinator of a service for a while, and looks for its successor.
+void placement_client::noteSilent(const service_name &service)
+{
+    m_silentUntil[service] = boot_clock::now() + SILENCE_TIME;
+    noteMissing(service);
+    askPeers(service);
+}
+
 void placement_client::noteCoordinatorView(const placement_message &message)
 {
     const milliseconds targetAge(message.targetAgeMs);
@@ -574,7 +587,7 @@
                 .add("term", message.term)
                 .add("coordinator", message.coordinator)
                 .add("by", peer.address().to_string());
-        m_silentUntil.erase(*told);
+        m_silentUntil.erase(message.service);
         askAnew(message.service);
         return;
     }
@@ -582,8 +595,12 @@
     const bool isRefused = coordinatorOf(message.service) == peer;
     if (!isRefused || (message.token != 0 && !m_pending.contains(message.token)))
         return;
-    log_line(log_level::Info, "coordinator_replaced").add("service", message.service);
-    m_onStale(store_stream::Coordination);
+    // A process that has restarted at the coordinator's address knows of no successor.
+    log_line(log_level::Info, "coordinator_gone")
+            .add("service", message.service)
+            .add("coordinator", peer.address().to_string());
+    noteSilent(message.service);
+    askAnew(message.service);
 }
 
 /// Asks other instances who coordinates a service whose coordinator is silent.
@@ -598,7 +615,7 @@
     auto asked = m_peers.draw(ASKED_PEERS, silent);
     // Coordinators follow the store most closely.
     for (const auto &[other, known] : m_coordinators.all()) {
-        if (known.peer != silent && !isSilent(known.peer))
+        if (known.peer != silent && !isSilent(other))
             asked.push_back(known.peer);
     }
     for (const auto &peer : asked)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -150,7 +150,8 @@
                             request_token token);
     void noteCoordinatorView(const placement_message &message);
     void sendReport(const std::shared_ptr<unconfirmed_report> &item);
-    bool isSilent(const udp_endpoint &peer) const;
+    bool isSilent(const service_name &service) const;
+    void noteSilent(const service_name &service);
     std::optional<udp_endpoint> coordinatorOf(const service_name &service) const;
     void sendPlacement(const udp_endpoint &peer, placement_message message);
     void compareConfiguration(std::uint64_t version);
@@ -185,7 +186,8 @@
     std::unordered_map<request_token, placed_request> m_placed;
     std::unordered_map<request_token, std::shared_ptr<unconfirmed_report>> m_unconfirmed;
     std::unordered_map<request_token, udp_endpoint> m_askers; ///< Who asked this instance.
-    std::map<udp_endpoint, instant> m_silentUntil;
+    std::map<service_name, instant> m_silentUntil; ///< Coordinators are not asked until then.
+    instant m_nextOwnershipRead{}; ///< Owners are not read again earlier because of a silence.
     std::map<service_name, local_service> m_local;
 };
 
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -32,9 +32,10 @@
 constexpr milliseconds PROOF_INTERVAL{60};
 /// An instance that coordinators keep informed reads a stream only so often, as a reserve for
 /// times in which neither the store nor a coordinator can be reached, and looks at these intervals
-/// whether they still do. A silent coordinator has targets and ownership read at once.
+/// whether they still do: at the short one for the configuration, and for the store's return. A
+/// silent coordinator has targets and ownership read at once.
 constexpr milliseconds INFORMED_INTERVAL{30000};
-constexpr milliseconds CONFIGURATION_REST{250};
+constexpr milliseconds SHORT_REST{250};
 constexpr milliseconds REST{1000};
 /// Changes that follow each other closely are read together.
 constexpr milliseconds MIN_PAUSE{60};
@@ -136,13 +137,26 @@
         return;
     m_isProving = true;
     m_provedAt = askedAt;
-    m_store.readFrom(store_stream::Coordination, m_ownership.next, milliseconds(0),
-                     [this, askedAt](const store_batch &batch) {
-                         m_isProving = false;
-                         m_metrics.countStoreCall("prove", nameOf(batch.failure));
-                         if (batch.failure == store_failure::None && !m_isStopped)
-                             applyOwnership(batch, askedAt);
-                     });
+    const bool isWhole = isWholeRead(m_ownership);
+    const auto done = [this, askedAt, isWhole](const store_batch &batch) {
+        m_isProving = false;
+        m_metrics.countStoreCall(isWhole ? "prove_newest" : "prove", nameOf(batch.failure));
+        if (batch.failure != store_failure::None || m_isStopped)
+            return;
+        advancePosition(m_ownership, batch, askedAt);
+        applyOwnership(batch, askedAt);
+    };
+    if (isWhole)
+        m_store.readNewest(store_stream::Coordination, done);
+    else
+        m_store.readFrom(store_stream::Coordination, m_ownership.next, milliseconds(0), done);
+}
+
+/// Reads overlap, and the answer to an earlier one may come later.
+void store_feeds::advancePosition(feed &item, const store_batch &batch, instant askedAt)
+{
+    item.next = std::max(item.next, batch.next);
+    item.confirmedAt = std::max(item.confirmedAt, askedAt);
 }
 
 void store_feeds::restartHungReads(instant before)
@@ -200,26 +214,34 @@
     });
 }
 
-/// @return whether a stream need not be read now, as coordinators would tell of news.
+/// @return whether a stream need not be read now: coordinators would tell of news, or the store is
+/// away and the reads of the configuration find out when it is back.
 bool store_feeds::mayRest(const feed &item) const
 {
     const auto now = boot_clock::now();
+    const bool isProbed = m_configuration.failures >= AWAY_FAILURES
+            && item.stream != store_stream::Configuration;
+    if (item.failures >= AWAY_FAILURES && isProbed && !m_listener.isCoordinating())
+        return true;
     return item.isPositioned && item.failures == 0 && now < item.confirmedAt + INFORMED_INTERVAL
             && now >= m_followUntil && !m_listener.isCoordinating() && m_listener.isInformed();
 }
 
 void store_feeds::readWhenNeeded(feed &item)
 {
-    if (mayRest(item))
-        schedule(item, item.stream == store_stream::Configuration ? CONFIGURATION_REST : REST);
-    else
+    if (!mayRest(item)) {
         read(item);
+        return;
+    }
+    const bool isShort = item.stream == store_stream::Configuration || item.failures > 0;
+    schedule(item, isShort ? SHORT_REST : REST);
 }
 
-/// After a long time the newest entries are fewer than all changes since the last read.
+/// After a long time the newest records are fewer than all changes since the last read, which may
+/// not fit into one answer of the store.
 bool store_feeds::isWholeRead(const feed &item) const
 {
-    const bool isLongAgo = item.stream == store_stream::Targets
+    const bool isLongAgo = item.stream != store_stream::Configuration
             && boot_clock::now() > item.confirmedAt + FOLLOWED_TARGETS_INTERVAL * 2;
     return !item.isPositioned || isLongAgo;
 }
@@ -294,9 +316,8 @@
         schedule(item, backoff(item));
         return;
     }
-    item.next = batch.next;
+    advancePosition(item, batch, askedAt);
     item.isPositioned = true;
-    item.confirmedAt = askedAt;
     apply(item, batch, askedAt, isWhole);
     item.wasComplete = true;
     schedule(item, pauseOf(item));
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -94,6 +94,7 @@
     bool mayRest(const feed &item) const;
     void read(feed &item);
     void onBatch(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
+    static void advancePosition(feed &item, const store_batch &batch, instant askedAt);
     void noteTargetRead(const feed &item, instant askedAt, instant now);
     void restartHungReads(instant before);
     void apply(feed &item, const store_batch &batch, instant askedAt, bool isWhole);
--- a/tests/platform/coordinationstoretest.cpp
+++ b/tests/platform/coordinationstoretest.cpp
@@ -131,3 +131,21 @@
                             "stored term " << append.record.term << " at " << append.end);
     BOOST_CHECK(choice.coordinated(SERVICE) == nullptr);
 }
+
+// A claim was refused again and again, as the coordinator of another service stored its moves; it
+// was repeated at the same place meanwhile (dispensa-gw-large trouble-1).
+BOOST_FIXTURE_TEST_CASE(refused_append_is_repeated_only_at_the_end_that_the_store_named,
+                        coordinating_instance)
+{
+    store.streamEnd += 2; // Another service's coordinator stores.
+    store.appends.clear();
+    listTarget(2);
+    BOOST_REQUIRE_EQUAL(store.appends.size(), 1U);
+    listTarget(3);
+    context.run_for(milliseconds(400));
+    BOOST_CHECK_EQUAL(store.appends.size(), 1U);
+    const auto toldEnd = store.streamEnd;
+    choice.onOwnership({}, toldEnd, boot_clock::now());
+    BOOST_REQUIRE_GE(store.appends.size(), 2U);
+    BOOST_CHECK_EQUAL(store.appends[1].end, toldEnd);
+}
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -178,6 +178,23 @@
     BOOST_CHECK(decisions.empty());
 }
 
+// After all instances had lost power, a service had no coordinator for the rest of the day; a new
+// process at the old address was asked thousands of times a second (dispensa-gw-large trouble-1).
+BOOST_FIXTURE_TEST_CASE(coordinator_that_restarted_without_its_service_is_asked_rarely,
+                        entry_instance)
+{
+    other_instance restarted(context, COORDINATOR_PORT);
+    restarted.answer = [&](const udp_endpoint &peer, const peer_message &message) {
+        if (const auto *asked = std::get_if<place_message>(&message))
+            restarted.channel.send(peer, not_coordinator_message{SERVICE, asked->token, 0, {}});
+    };
+    for (int request = 0; request < 20; ++request) {
+        place();
+        context.run_for(milliseconds(20));
+    }
+    BOOST_CHECK_EQUAL(restarted.count<place_message>(), 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(hint_of_an_older_coordinator_changes_nothing, entry_instance)
 {
     other_instance coordinator(context, COORDINATOR_PORT);
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -28,17 +28,19 @@
     void readNewest(store_stream stream, batch_handler done) override
     {
         ++reads[stream];
-        later(milliseconds(1), [done] { done({store_failure::None, {}, 1}); });
+        ++newestReads[stream];
+        later(milliseconds(1), [done, outcome = failure] { done({outcome, {}, 1}); });
     }
 
     void readFrom(store_stream stream, std::uint64_t offset, milliseconds wait,
                   batch_handler done) override
     {
         ++reads[stream];
-        store_batch batch{store_failure::None, {}, offset};
+        store_batch batch{failure, {}, offset};
         if (stream == store_stream::Configuration && wait == milliseconds(0))
             batch.records.push_back({"config", CONFIGURATION, false});
-        later(wait + m_transfer, [done, batch] { done(batch); });
+        const bool isRefused = failure != store_failure::None;
+        later(isRefused ? m_transfer : wait + m_transfer, [done, batch] { done(batch); });
     }
 
     void appendAt(store_stream, std::uint64_t, const store_record &, append_handler) override { }
@@ -49,6 +51,8 @@
     std::uint32_t coordinatorParts() const override { return 1; }
 
     std::map<store_stream, int> reads;
+    std::map<store_stream, int> newestReads;
+    store_failure failure = store_failure::None;
 
 private:
     void later(milliseconds delay, std::function<void()> action)
@@ -172,3 +176,46 @@
     path.context.run_for(milliseconds(100));
     BOOST_CHECK_EQUAL(path.listener.version, 7U);
 }
+
+// While the store refused all calls, 195 instances repeated the reads of all three streams every
+// 0.8 s (dispensa-gw-large trouble-3).
+BOOST_AUTO_TEST_CASE(store_that_is_away_is_probed_by_reads_of_one_stream)
+{
+    feed_fixture path;
+    path.listener.hasNews = true;
+    path.context.run_for(milliseconds(8200));
+    path.listener.hasNews = false;
+    path.store.failure = store_failure::Refused;
+    path.feeds.followTargets();
+    path.feeds.refresh(store_stream::Coordination);
+    path.context.run_for(milliseconds(1000));
+    const auto before = path.store.reads;
+    path.context.run_for(milliseconds(2000));
+    BOOST_CHECK_GE(path.store.reads[store_stream::Configuration]
+                           - before.at(store_stream::Configuration),
+                   2);
+    BOOST_CHECK_EQUAL(path.store.reads[store_stream::Targets], before.at(store_stream::Targets));
+    BOOST_CHECK_EQUAL(path.store.reads[store_stream::Coordination],
+                      before.at(store_stream::Coordination));
+    path.store.failure = store_failure::None;
+    path.context.run_for(milliseconds(1300));
+    BOOST_CHECK_GT(path.store.reads[store_stream::Targets], before.at(store_stream::Targets));
+}
+
+// An instance that had rested proved from its old position: the store's answer held the oldest half
+// megabyte of the changes since, and the position stayed, so that its claims were refused for 19 s
+// (dispensa-gw-large trouble-1).
+BOOST_AUTO_TEST_CASE(proof_after_a_rest_reads_the_newest_records_only)
+{
+    feed_fixture path;
+    path.listener.hasNews = true;
+    path.context.run_for(milliseconds(10500)); // The read that waits for news ends.
+    const auto before = path.store.newestReads[store_stream::Coordination];
+    path.feeds.prove();
+    path.context.run_for(milliseconds(100));
+    BOOST_CHECK_EQUAL(path.store.newestReads[store_stream::Coordination], before + 1);
+    // The next one goes on from there.
+    path.feeds.prove();
+    path.context.run_for(milliseconds(100));
+    BOOST_CHECK_EQUAL(path.store.newestReads[store_stream::Coordination], before + 1);
+}
