--- a/src/gateway/internal/peerbook.cpp
+++ b/src/gateway/internal/peerbook.cpp
@@ -13,10 +13,9 @@
     m_peers[peer] = now;
     if (m_peers.size() <= CAPACITY)
         return;
-    const auto oldest =
-            std::min_element(m_peers.begin(), m_peers.end(), [](const auto &one, const auto &other) {
-                return one.second < other.second;
-            });
+    const auto oldest = std::min_element(
+            m_peers.begin(), m_peers.end(),
+            [](const auto &one, const auto &other) { return one.second < other.second; });
     m_peers.erase(oldest);
 }
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -40,8 +40,8 @@
 /// interval: a takeover takes two seconds.
 constexpr std::size_t ASKED_PEERS = 3;
 constexpr milliseconds PEER_INTERVAL{200};
-/// Owners of keys are read this often while a coordinator is missing: in a large fleet all instances
-/// read them at once, and peers tell of a successor.
+/// Owners of keys are read this often while a coordinator is missing: in a large fleet all
+/// instances read them at once, and peers tell of a successor.
 constexpr milliseconds OWNERSHIP_READ_INTERVAL{1500};
 /// Requests of other instances that are remembered.
 constexpr std::size_t MAX_ASKERS = 20000;
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -42,8 +42,8 @@
     std::int64_t retryAfterMs = 0;
     std::int64_t waitedUs = 0;
     std::uint32_t queueLength = 0;
-    std::uint64_t configuration = 0; ///< Version in force at the sender.
-    std::int64_t targetAgeMs = 0;    ///< Since the sender's list of targets was up to date.
+    std::uint64_t configuration = 0;     ///< Version in force at the sender.
+    std::int64_t targetAgeMs = 0;        ///< Since the sender's list of targets was up to date.
     std::int64_t configurationAgeMs = 0; ///< Since the sender's configuration was the newest.
     std::uint8_t rank = 0;               ///< Of the sender as a coordinator.
     std::string peer;                    ///< Address of some other instance; may be empty.
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -219,8 +219,8 @@
 bool store_feeds::mayRest(const feed &item) const
 {
     const auto now = boot_clock::now();
-    const bool isProbed = m_configuration.failures >= AWAY_FAILURES
-            && item.stream != store_stream::Configuration;
+    const bool isProbed =
+            m_configuration.failures >= AWAY_FAILURES && item.stream != store_stream::Configuration;
     if (item.failures >= AWAY_FAILURES && isProbed && !m_listener.isCoordinating())
         return true;
     return item.isPositioned && item.failures == 0 && now < item.confirmedAt + INFORMED_INTERVAL
--- a/tests/platform/candidacytest.cpp
+++ b/tests/platform/candidacytest.cpp
@@ -28,8 +28,7 @@
     candidacy other(LARGE_SHARE);
     for (milliseconds time(0); time <= milliseconds(60000); time += milliseconds(500)) {
         BOOST_CHECK(holder.shouldStand(false, true, START + time));
-        BOOST_CHECK_EQUAL(other.shouldStand(false, false, START + time),
-                          time < milliseconds(5000));
+        BOOST_CHECK_EQUAL(other.shouldStand(false, false, START + time), time < milliseconds(5000));
     }
 }
 
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -126,8 +126,7 @@
 struct client_fixture {
     std::shared_ptr<client_connection> connect()
     {
-        auto connection =
-                std::make_shared<client_connection>(context, local(), milliseconds(500));
+        auto connection = std::make_shared<client_connection>(context, local(), milliseconds(500));
         connection->setBudget(budget);
         return connection;
     }
@@ -176,8 +175,7 @@
         {"one header line", HEAD + "More: ", "and more "},
         {"status line", "HTTP/1.1 200 ", "fine "},
         {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-        {"answers to other calls", "",
-         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 1\r\n\r\n0"},
+        {"answers to other calls", "", "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 1\r\n\r\n0"},
         {"body without a length", HEAD + "\r\n", "more"},
         {"chunks", CHUNKED, "4\r\nmore\r\n"},
         {"one chunk", CHUNKED + "ffffffffff\r\n", "more"},
@@ -224,17 +222,17 @@
     const auto copy = answerTo("1", "first");
     for (std::size_t cut = 0; cut <= copy.size(); ++cut) {
         client_fixture path;
-        byte_peer peer(path.context, [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket,
-                                         int count) {
-            if (count == 0) {
-                byte_peer::write(socket, copy);
-                return;
-            }
-            // The second call is on its way: a copy of the first answer, in two pieces, comes before
-            // its own.
-            byte_peer::write(socket, copy.substr(0, cut));
-            byte_peer::write(socket, copy.substr(cut) + answerTo("2", "second"));
-        });
+        byte_peer peer(path.context,
+                       [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket, int count) {
+                           if (count == 0) {
+                               byte_peer::write(socket, copy);
+                               return;
+                           }
+                           // The second call is on its way: a copy of the first answer, in two
+                           // pieces, comes before its own.
+                           byte_peer::write(socket, copy.substr(0, cut));
+                           byte_peer::write(socket, copy.substr(cut) + answerTo("2", "second"));
+                       });
         const auto connection = path.connect();
         const auto first = path.exchange(connection, "1");
         path.runUntil([&] { return first->failure.has_value(); });
@@ -252,14 +250,14 @@
     for (const auto delay : {milliseconds(0), milliseconds(30)}) {
         client_fixture path;
         boost::asio::steady_timer timer(path.context);
-        byte_peer peer(path.context, [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket,
-                                         int) {
-            byte_peer::write(socket, answerTo("1", "first"));
-            timer.expires_after(delay);
-            timer.async_wait([socket](boost::system::error_code) {
-                byte_peer::write(socket, answerTo("1", "first"));
-            });
-        });
+        byte_peer peer(path.context,
+                       [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket, int) {
+                           byte_peer::write(socket, answerTo("1", "first"));
+                           timer.expires_after(delay);
+                           timer.async_wait([socket](boost::system::error_code) {
+                               byte_peer::write(socket, answerTo("1", "first"));
+                           });
+                       });
         const auto connection = path.connect();
         const auto first = path.exchange(connection, "1");
         path.runUntil([&] { return first->failure.has_value(); });
@@ -300,17 +298,17 @@
     for (const bool isReset : {false, true}) {
         client_fixture path;
         boost::asio::steady_timer timer(path.context);
-        byte_peer peer(path.context, [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket,
-                                         int) {
-            byte_peer::write(socket, HEAD + "\r\nwhole");
-            timer.expires_after(milliseconds(20));
-            timer.async_wait([socket, isReset](boost::system::error_code) {
-                if (isReset)
-                    byte_peer::reset(socket);
-                else
-                    socket->close();
-            });
-        });
+        byte_peer peer(path.context,
+                       [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket, int) {
+                           byte_peer::write(socket, HEAD + "\r\nwhole");
+                           timer.expires_after(milliseconds(20));
+                           timer.async_wait([socket, isReset](boost::system::error_code) {
+                               if (isReset)
+                                   byte_peer::reset(socket);
+                               else
+                                   socket->close();
+                           });
+                       });
         const auto result = path.exchange(path.connect(), "1");
         path.runUntil([&] { return result->failure.has_value(); });
         BOOST_CHECK_EQUAL(*result->failure == exchange_failure::None, !isReset);
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -120,10 +120,11 @@
         request.arrival = boot_clock::now();
         request.objective = request.arrival + milliseconds(2000);
         request.deadline = request.arrival + milliseconds(4000);
-        client.place(SERVICE, request,
-                     [this](const dispatch_decision &decision, const placement_client::placement &) {
-                         decisions.push_back(decision);
-                     });
+        client.place(
+                SERVICE, request,
+                [this](const dispatch_decision &decision, const placement_client::placement &) {
+                    decisions.push_back(decision);
+                });
     }
 
     boost::asio::io_context context{1};
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE storeclient
-#include "clementinebeam/asynchttp/clientconnection.h"
 #include "platform/storeclient.h"
+#include "clementinebeam/asynchttp/clientconnection.h"
 #include "storestandin.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -144,7 +144,8 @@
     BOOST_CHECK_GE(path.store.reads[store_stream::Targets] - before, 4);
 }
 
-// With 195 instances, reads by each of them cost a third of a quiet day's worth (dispensa-gw-large).
+// With 195 instances, reads by each of them cost a third of a quiet day's worth
+// (dispensa-gw-large).
 BOOST_AUTO_TEST_CASE(informed_instance_leaves_the_store_alone)
 {
     feed_fixture path;
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -125,8 +125,9 @@
     BOOST_CHECK(actions.grants.empty() && actions.releases.empty() && !actions.wantsStore);
 }
 
-// A leaving target closes its connections while the store is away, so that no renewal may be sent to
-// it; requests went on to it and were refused (akk-gateway trouble-3, 627 of them in five seconds).
+// A leaving target closes its connections while the store is away, so that no renewal may be sent
+// to it; requests went on to it and were refused (akk-gateway trouble-3, 627 of them in five
+// seconds).
 BOOST_AUTO_TEST_CASE(target_whose_renewals_are_put_off_is_not_served_by_after_its_hold)
 {
     obedient_system system;
