--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds MIN_PAUSE{60};
 constexpr milliseconds FIRST_BACKOFF{150};
 constexpr milliseconds MAX_BACKOFF{800};
+/// Others than coordinators hear of the store's return from these.
+constexpr milliseconds MAX_IDLE_BACKOFF{1600};
 constexpr milliseconds MIN_REFRESH_INTERVAL{400};
 /// Failed reads in a row after which the store counts as away.
 constexpr std::uint32_t AWAY_FAILURES = 2;
@@ -198,8 +200,9 @@
 
 milliseconds store_feeds::backoff(const feed &item) const
 {
-    const auto doublings = std::min<std::uint32_t>(item.failures, 4);
-    return std::min(FIRST_BACKOFF * (1U << doublings) / 2, MAX_BACKOFF);
+    const auto most = m_listener.isCoordinating() ? MAX_BACKOFF : MAX_IDLE_BACKOFF;
+    const auto doublings = std::min<std::uint32_t>(item.failures, 5);
+    return std::min(FIRST_BACKOFF * (1U << doublings) / 2, most);
 }
 
 void store_feeds::schedule(feed &item, milliseconds delay)
