Answer requests that were accepted or half read when a planned stop closes the listener

Cause (users' list, shown by tests): closing the acceptor reset the connections in its queue, and a stop closed each connection whose request was still in the socket, on its way after the connection, or consumed in part by the parser. Change. stopAccepting takes what waits first; a connection with unread or begun requests ends after its answer; one without any request so far is kept for 0.4 s. Ruled out: idle kept connections, which end at once as before.

--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -59,13 +59,18 @@
     /// @param handler called if the peer leaves before the answer; cleared by respond().
     void setLeftHandler(left_handler handler) { m_onLeft = std::move(handler); }
 
-    /// Lets the connection end after the present request, or at once if there is none.
+    /// Lets the connection end after the present request, or at once if there is none. A request that
+    /// waits unread counts, as does one that may be on its way on a connection without any so far.
     void finish();
 
     void close();
 
     /// @return whether a request is being read, handled or answered.
-    bool isBusy() const { return m_isHandling || m_isWriting || m_buffer.size() > 0; }
+    bool isBusy() const
+    {
+        const bool isBegun = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+        return m_isHandling || m_isWriting || m_isAwaited || isBegun;
+    }
 
     bool isClosed() const { return m_isClosed; }
 
@@ -93,6 +98,8 @@
     bool m_isLast = false;
     bool m_isClosed = false;
     bool m_hasContinued = false;
+    bool m_isFresh = true;    ///< No byte of a request has been read.
+    bool m_isAwaited = false; ///< The last request is waited for.
 };
 
 /// Accepts connections on one address and keeps track of them.
@@ -107,6 +114,7 @@
     /// @return an error if the address can't be used.
     std::error_code listen(const tcp_endpoint &address);
 
+    /// Takes the connections that wait to be accepted, then accepts no more.
     void stopAccepting();
 
     /// Lets all connections end after their present request.
@@ -119,6 +127,7 @@
 
 private:
     void accept();
+    void take(boost::asio::ip::tcp::socket socket);
     void forgetClosed();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
 /// Pause after a failed accept, as when descriptors run out.
 constexpr std::chrono::milliseconds ACCEPT_RETRY{50};
+/// How long a connection that was accepted shortly before a stop is kept for its request.
+constexpr std::chrono::milliseconds LAST_REQUEST_TIME{400};
 /// Accepted connections between two sweeps over the closed ones.
 constexpr std::size_t SWEEP_INTERVAL = 32;
 
@@ -102,6 +104,7 @@
 
 void server_connection::parse()
 {
+    m_isFresh = false;
     if (!m_parser->got_some())
         armTimer(m_handler.limits().headerTimeout);
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
@@ -121,6 +124,7 @@
     }
     m_timer.cancel();
     m_isHandling = true;
+    m_isAwaited = false;
     auto call = m_parser->release();
     if (!call.keep_alive())
         m_isLast = true;
@@ -180,8 +184,15 @@
 void server_connection::finish()
 {
     m_isLast = true;
-    if (!isBusy())
+    if (isBusy())
+        return;
+    boost::system::error_code error;
+    if (!m_isFresh && m_socket.available(error) == 0) {
         close();
+        return;
+    }
+    m_isAwaited = true;
+    armTimer(LAST_REQUEST_TIME);
 }
 
 void server_connection::close()
@@ -233,15 +244,20 @@
             });
             return;
         }
-        const auto connection = std::make_shared<server_connection>(std::move(socket), m_handler);
-        if (++m_acceptedSinceSweep >= SWEEP_INTERVAL)
-            forgetClosed();
-        m_connections.insert(connection);
-        connection->start();
+        take(std::move(socket));
         accept();
     });
 }
 
+void server_listener::take(boost::asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<server_connection>(std::move(socket), m_handler);
+    if (++m_acceptedSinceSweep >= SWEEP_INTERVAL)
+        forgetClosed();
+    m_connections.insert(connection);
+    connection->start();
+}
+
 void server_listener::forgetClosed()
 {
     m_acceptedSinceSweep = 0;
@@ -250,8 +266,16 @@
 
 void server_listener::stopAccepting()
 {
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    // Closing the acceptor resets the connections that wait in its queue, with their requests.
+    while (!error) {
+        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, error);
+        if (!error)
+            take(std::move(socket));
+    }
+    m_acceptor.close(error);
 }
 
 void server_listener::finishAll()
