--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -16,6 +16,8 @@
 /// Three calls within the lifetime, so that a lost one does no harm.
 constexpr milliseconds JOIN_INTERVAL{400};
 constexpr milliseconds APPEND_RETRY{150};
+/// Several reads of the stream; after that the end that the store named is in doubt.
+constexpr milliseconds TOLD_END_LIFE{2000};
 /// Age of the list of targets up to which a claim may rest on it; targets register anew within a
 /// second of their start.
 constexpr milliseconds MAX_LIST_AGE{1000};
@@ -240,12 +242,17 @@
     return claim;
 }
 
+/// @return whether an append would be refused again, as records at the end are not taken in yet.
+bool coordination::isBehind() const
+{
+    return m_end < m_toldEnd && boot_clock::now() < m_toldAt + TOLD_END_LIFE;
+}
+
 void coordination::storeNext()
 {
     if (m_isAppending || m_isTakingIn || m_unstored.empty() || !m_isEndKnown)
         return;
-    // Another append at the same place would be refused again.
-    if (m_end < m_toldEnd) {
+    if (isBehind()) {
         m_around.onProofWanted();
         return;
     }
@@ -291,7 +298,8 @@
             .add("end", m_end)
             .add("error", nameOf(outcome.failure));
     if (outcome.failure == store_failure::Conflict) {
-        m_toldEnd = std::max(m_toldEnd, outcome.end);
+        m_toldEnd = outcome.end;
+        m_toldAt = boot_clock::now();
         m_around.onProofWanted();
     }
     // What became of it shows in the stream; until then the same place is tried again.
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -103,6 +103,7 @@
     bool mayReplace(const ownership_record &known);
     ownership_record claimOf(const routed_service &service) const;
     bool isResponsibleFor(const service_name &service) const;
+    bool isBehind() const;
     void storeNext();
     void onAppended(const ownership_record &record, bool isClaim, instant sentAt,
                     const append_outcome &outcome);
@@ -126,6 +127,7 @@
     std::set<service_name> m_unstored; ///< Services whose record is to be stored.
     std::uint64_t m_end = 0;           ///< Up to where the ownership stream was taken in.
     std::uint64_t m_toldEnd = 0;       ///< End that the store named when it refused an append.
+    instant m_toldAt{};
     bool m_isEndKnown = false;
     bool m_isAppending = false;
     bool m_isTakingIn = false; ///< Records up to a new end are being taken in.
--- a/src/gateway/internal/peerbook.cpp
+++ b/src/gateway/internal/peerbook.cpp
@@ -4,8 +4,8 @@
 
 namespace clementinebeam {
 
-peer_book::peer_book(random_source random)
-    : m_random(std::move(random))
+peer_book::peer_book(const random_source &random)
+    : m_random(random)
 { }
 
 void peer_book::note(const udp_endpoint &peer, instant now)
--- a/src/gateway/internal/peerbook.h
+++ b/src/gateway/internal/peerbook.h
@@ -22,7 +22,7 @@
     /// Addresses that are kept; the one heard of longest ago makes room.
     static constexpr std::size_t CAPACITY = 64;
 
-    explicit peer_book(random_source random);
+    explicit peer_book(const random_source &random);
 
     /// Takes that an instance lived a short time ago.
     void note(const udp_endpoint &peer, instant now);
