--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -59,8 +59,9 @@
     /// @param handler called if the peer leaves before the answer; cleared by respond().
     void setLeftHandler(left_handler handler) { m_onLeft = std::move(handler); }
 
-    /// Lets the connection end after the present request, or at once if there is none. A request that
-    /// waits unread counts, as does one that may be on its way on a connection without any so far.
+    /// Lets the connection end after the present request, or at once if there is none. A request
+    /// that waits unread counts, as does one that may be on its way on a connection without any so
+    /// far.
     void finish();
 
     void close();
--- a/include/clementinebeam/keyspace/rangeplanner.h
+++ b/include/clementinebeam/keyspace/rangeplanner.h
@@ -8,9 +8,9 @@
 ///
 /// Answers hot keys: when few neighbouring keys bring several targets' worth of requests, the
 /// narrowest range that carries the excess is split off and given to the least loaded target, so
-/// that few keys move. A key that fills any target alone stays where it is, and other keys leave its
-/// target. Wide ranges move only if the steady load is uneven. Places ranges without
-/// an owner and gives new targets a share.
+/// that few keys move. A key that fills any target alone stays where it is, and other keys leave
+/// its target. Wide ranges move only if the steady load is uneven. Places ranges without an owner
+/// and gives new targets a share.
 class range_planner
 {
 public:
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -231,22 +231,22 @@
 
 void server_listener::accept()
 {
-    m_acceptor.async_accept([this](boost::system::error_code error,
-                                   boost::asio::ip::tcp::socket socket) {
-        if (!m_acceptor.is_open())
-            return;
-        if (error) {
-            log_line(log_level::Warning, "accept_failed").add("error", error.message());
-            m_retryTimer.expires_after(ACCEPT_RETRY);
-            m_retryTimer.async_wait([this](boost::system::error_code waitError) {
-                if (!waitError)
-                    accept();
+    m_acceptor.async_accept(
+            [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                if (!m_acceptor.is_open())
+                    return;
+                if (error) {
+                    log_line(log_level::Warning, "accept_failed").add("error", error.message());
+                    m_retryTimer.expires_after(ACCEPT_RETRY);
+                    m_retryTimer.async_wait([this](boost::system::error_code waitError) {
+                        if (!waitError)
+                            accept();
+                    });
+                    return;
+                }
+                take(std::move(socket));
+                accept();
             });
-            return;
-        }
-        take(std::move(socket));
-        accept();
-    });
 }
 
 void server_listener::take(boost::asio::ip::tcp::socket socket)
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -314,9 +314,8 @@
     const double headroom = mean * empty->holder->capacity - empty->load();
     const auto staying = fillingKey(full, *empty, ranges, load);
     const double amount = hasNewcomer ? std::max(excess, full.load() / 2) : excess;
-    const auto found = staying
-            ? keysBeside(*staying, full, headroom, ranges, load)
-            : excessKeys(full, *empty, std::min(amount, headroom), ranges, load);
+    const auto found = staying ? keysBeside(*staying, full, headroom, ranges, load)
+                               : excessKeys(full, *empty, std::min(amount, headroom), ranges, load);
     if (!found)
         return std::nullopt;
     shift(full, *empty, *found);
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -30,8 +30,7 @@
 
     void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override
     {
-        const auto timer =
-                std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(50));
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(50));
         timer->async_wait([timer, connection, body = call.body()](boost::system::error_code) {
             connection->respond(makeOwnAnswer(200, body));
         });
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -378,8 +378,8 @@
 
 } // namespace
 
-// A key that needs three targets' capacity was moved twice a second, and had no owner for a third of
-// the time (akk-gateway quiet-1).
+// A key that needs three targets' capacity was moved twice a second, and had no owner for a third
+// of the time (akk-gateway quiet-1).
 BOOST_FIXTURE_TEST_CASE(key_that_fills_any_target_stays_where_it_is, single_hot_key)
 {
     press(seconds(6));
