Call one piece where the change had written two

Found on reading the change again; behaviour stays. openAcceptor serves listeners and the soak's proxy; udpEndpointOf and textOf serve both users of peer addresses. relayed_news keeps the one time that it used of a map by service; one handler tells the age of any stream; both long polls have one wait. A placement no longer copies the book of peers, and a round of moves looks the emptiest target up once. In the tests, byte_peer::end replaces the same branch in two cases. Assertions are as before.

--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -216,14 +216,7 @@
 
 std::error_code server_listener::listen(const tcp_endpoint &address)
 {
-    boost::system::error_code error;
-    m_acceptor.open(address.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(address, error);
-    if (!error)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    const auto error = openAcceptor(m_acceptor, address);
     if (!error)
         accept();
     return error;
--- a/src/asynchttp/internal/sockets.cpp
+++ b/src/asynchttp/internal/sockets.cpp
@@ -30,6 +30,19 @@
     setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_PEER_LIMIT_MS);
 }
 
+std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &acceptor, const tcp_endpoint &address)
+{
+    boost::system::error_code error;
+    acceptor.open(address.protocol(), error);
+    if (!error)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(address, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    return error;
+}
+
 void probeWhileIdle(boost::asio::ip::tcp::socket &socket)
 {
     const int handle = socket.native_handle();
--- a/src/gateway/internal/candidacy.cpp
+++ b/src/gateway/internal/candidacy.cpp
@@ -8,8 +8,8 @@
 
 using std::chrono::milliseconds;
 
-/// Share of a processor that carries a service's placement traffic: measured, a coordinator of
-/// 1,350 requests a second uses 0.06 of a processor on average and a multiple of it in bursts.
+/// Share of a processor that carries the placement traffic of a service of 1,350 requests a second:
+/// 0.06 on average and a multiple of it in bursts.
 constexpr double STRONG_SHARE = 0.2;
 /// A lost coordinator's membership lasts 1.4 s; then a member of the group claims within half a
 /// second. Large instances outside the group come next, small ones last.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -4,8 +4,6 @@
 #include "clementinebeam/observability/boundedlog.h"
 #include "clementinebeam/observability/logline.h"
 
-#include <boost/asio/ip/address.hpp>
-
 namespace clementinebeam {
 
 namespace {
@@ -29,11 +27,6 @@
 /// Part of the process's memory that answers of targets may take while they come in.
 constexpr std::size_t ANSWER_MEMORY_PARTS = 4;
 
-udp_endpoint udpEndpointOf(const network_address &address)
-{
-    return {boost::asio::ip::make_address_v4(address.host), address.port};
-}
-
 } // namespace
 
 page_server::page_server(std::string path, page_maker maker)
@@ -79,10 +72,8 @@
 {
     m_placement.setCoordination(&m_coordination);
     m_placement.setStalenessHandler([this](store_stream stream) { onStale(stream); });
-    m_placement.setTargetAge(
-            [this] { return m_feeds.age(store_stream::Targets, boot_clock::now()); });
-    m_placement.setConfigurationAge(
-            [this] { return m_feeds.age(store_stream::Configuration, boot_clock::now()); });
+    m_placement.setStreamAge(
+            [this](store_stream stream) { return m_feeds.age(stream, boot_clock::now()); });
 }
 
 std::error_code gateway::start()
--- a/src/gateway/internal/peerbook.cpp
+++ b/src/gateway/internal/peerbook.cpp
@@ -33,8 +33,14 @@
 
 std::optional<udp_endpoint> peer_book::drawOne(const udp_endpoint &excluded)
 {
-    const auto drawn = draw(1, excluded);
-    return drawn.empty() ? std::nullopt : std::optional(drawn.front());
+    const std::size_t others = m_peers.size() - m_peers.count(excluded);
+    if (others == 0)
+        return std::nullopt;
+    auto left = std::uniform_int_distribution<std::size_t>(0, others - 1)(m_random);
+    auto item = m_peers.begin();
+    while (item->first == excluded || left-- > 0)
+        ++item;
+    return item->first;
 }
 
 } // namespace clementinebeam
--- a/src/gateway/internal/peerchannel.cpp
+++ b/src/gateway/internal/peerchannel.cpp
@@ -3,6 +3,8 @@
 #include "clementinebeam/kernel/binarycodec.h"
 #include "clementinebeam/observability/logline.h"
 
+#include <boost/asio/ip/address.hpp>
+
 namespace clementinebeam {
 
 namespace {
@@ -12,6 +14,16 @@
 
 } // namespace
 
+udp_endpoint udpEndpointOf(const network_address &address)
+{
+    return {boost::asio::ip::make_address_v4(address.host), address.port};
+}
+
+std::string textOf(const udp_endpoint &peer)
+{
+    return network_address{peer.address().to_string(), peer.port()}.text();
+}
+
 peer_channel::peer_channel(boost::asio::io_context &context)
     : m_socket(context)
 { }
--- a/src/gateway/internal/peerchannel.h
+++ b/src/gateway/internal/peerchannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/kernel/networkaddress.h"
 #include "internal/placementmessages.h"
 
 #include <array>
@@ -12,6 +13,12 @@
 
 using udp_endpoint = boost::asio::ip::udp::endpoint;
 
+/// @param address an address that was parsed or checked before.
+udp_endpoint udpEndpointOf(const network_address &address);
+
+/// @return the address in the form that parseNetworkAddress() reads.
+std::string textOf(const udp_endpoint &peer);
+
 /// Carries placement messages between instances as datagrams. Lost ones are repeated by the sender.
 class peer_channel
 {
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -4,8 +4,6 @@
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/observability/logline.h"
 
-#include <boost/asio/ip/address.hpp>
-
 namespace clementinebeam {
 
 namespace {
@@ -51,12 +49,7 @@
     const auto address = parseNetworkAddress(text);
     if (!address)
         return std::nullopt;
-    return udp_endpoint(boost::asio::ip::make_address_v4(address->host), address->port);
-}
-
-std::string textOf(const udp_endpoint &peer)
-{
-    return network_address{peer.address().to_string(), peer.port()}.text();
+    return udpEndpointOf(*address);
 }
 
 std::int64_t micros(boost::asio::steady_timer::duration value)
@@ -227,7 +220,8 @@
 /// @return whether a request has to wait for a fresh list of targets; its timer is then set.
 bool placement_client::waitForList(const pending_pointer &item)
 {
-    const bool isListOld = m_targets.isStoreReachable() && m_targetAge() > MAX_LIST_AGE_ALONE;
+    const bool isListOld =
+            m_targets.isStoreReachable() && m_streamAge(store_stream::Targets) > MAX_LIST_AGE_ALONE;
     if (!isListOld || item->listWaits >= MAX_LIST_WAITS)
         return false;
     ++item->listWaits;
@@ -403,8 +397,8 @@
 void placement_client::sendPlacement(const udp_endpoint &peer, placement_message message)
 {
     message.configuration = m_configuration;
-    message.targetAgeMs = m_targetAge().count();
-    message.configurationAgeMs = m_configurationAge().count();
+    message.targetAgeMs = m_streamAge(store_stream::Targets).count();
+    message.configurationAgeMs = m_streamAge(store_stream::Configuration).count();
     if (const auto other = m_peers.drawOne(peer))
         message.peer = textOf(*other);
     message.rank = static_cast<std::uint8_t>(m_coordination->rank());
@@ -526,7 +520,8 @@
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
     // A coordinator that is cut from the store may place requests by an old list.
-    const bool isOwnListNewer = m_targetAge() < milliseconds(message.targetAgeMs);
+    const bool isOwnListNewer =
+            m_streamAge(store_stream::Targets) < milliseconds(message.targetAgeMs);
     const bool isKeyed = item->request.key.has_value();
     finish(decision,
            {{message.targetHost, message.targetPort},
@@ -557,8 +552,7 @@
 void placement_client::noteCoordinatorView(const placement_message &message)
 {
     const milliseconds targetAge(message.targetAgeMs);
-    m_news.noteAnswer(message.service, targetAge, milliseconds(message.configurationAgeMs),
-                      boot_clock::now());
+    m_news.noteAnswer(targetAge, milliseconds(message.configurationAgeMs), boot_clock::now());
     if (targetAge > MAX_VIEW_AGE)
         noteMissing(message.service);
     else if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large))
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -42,17 +42,10 @@
 
     void setStalenessHandler(staleness_handler handler) { m_onStale = std::move(handler); }
 
-    /// @param age tells how long ago this instance's list of targets was up to date.
-    void setTargetAge(std::function<std::chrono::milliseconds()> age)
-    {
-        m_targetAge = std::move(age);
-    }
-
-    /// @param age tells how long ago this instance's configuration was known to be the newest.
-    void setConfigurationAge(std::function<std::chrono::milliseconds()> age)
-    {
-        m_configurationAge = std::move(age);
-    }
+    /// Tells how long ago what this instance knows of a stream was up to date.
+    using stream_age = std::function<std::chrono::milliseconds(store_stream)>;
+
+    void setStreamAge(stream_age age) { m_streamAge = std::move(age); }
 
     /// Takes the version of the configuration in force here.
     void setConfigurationVersion(std::uint64_t version) { m_configuration = version; }
@@ -167,8 +160,7 @@
     const target_directory &m_targets;
     coordination *m_coordination = nullptr;
     staleness_handler m_onStale;
-    std::function<std::chrono::milliseconds()> m_targetAge;
-    std::function<std::chrono::milliseconds()> m_configurationAge;
+    stream_age m_streamAge;
     std::uint64_t m_configuration = 0;
     coordinator_list m_coordinators;
     peer_book m_peers;
--- a/src/gateway/internal/relayednews.cpp
+++ b/src/gateway/internal/relayednews.cpp
@@ -12,31 +12,21 @@
 
 } // namespace
 
-void relayed_news::noteAnswer(const service_name &service, std::chrono::milliseconds targetAge,
+void relayed_news::noteAnswer(std::chrono::milliseconds targetAge,
                               std::chrono::milliseconds configurationAge, instant now)
 {
-    if (configurationAge > MAX_CONFIGURATION_AGE)
-        return;
-    auto &until = m_freshUntil[service];
-    until = std::max(until, now - targetAge + MAX_NEWS_AGE);
-}
-
-instant relayed_news::freshUntil() const
-{
-    instant latest{};
-    for (const auto &[service, until] : m_freshUntil)
-        latest = std::max(latest, until);
-    return latest;
+    if (configurationAge <= MAX_CONFIGURATION_AGE)
+        m_freshUntil = std::max(m_freshUntil, now - targetAge + MAX_NEWS_AGE);
 }
 
 bool relayed_news::isFresh(instant now) const
 {
-    return now < freshUntil();
+    return now < m_freshUntil;
 }
 
 bool relayed_news::isDue(instant now) const
 {
-    return now + ASK_AHEAD >= freshUntil();
+    return now + ASK_AHEAD >= m_freshUntil;
 }
 
 } // namespace clementinebeam
--- a/src/gateway/internal/relayednews.h
+++ b/src/gateway/internal/relayednews.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include "clementinebeam/kernel/bootclock.h"
-#include "clementinebeam/kernel/identifiers.h"
 
 #include <chrono>
-#include <map>
 
 namespace clementinebeam {
 
@@ -27,8 +25,8 @@
     /// A coordinator answered.
     /// @param targetAge since its list of targets was up to date.
     /// @param configurationAge since its configuration was known to be the newest.
-    void noteAnswer(const service_name &service, std::chrono::milliseconds targetAge,
-                    std::chrono::milliseconds configurationAge, instant now);
+    void noteAnswer(std::chrono::milliseconds targetAge, std::chrono::milliseconds configurationAge,
+                    instant now);
 
     /// @return whether some coordinator's view of the store is fresh enough to rely on.
     bool isFresh(instant now) const;
@@ -37,9 +35,7 @@
     bool isDue(instant now) const;
 
 private:
-    instant freshUntil() const;
-
-    std::map<service_name, instant> m_freshUntil;
+    instant m_freshUntil{};
 };
 
 } // namespace clementinebeam
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -11,8 +11,7 @@
 using std::chrono::milliseconds;
 
 /// How long the store may wait for news. Probes of the connection notice one that went silent.
-constexpr milliseconds CONFIGURATION_WAIT{8000};
-constexpr milliseconds OWNERSHIP_WAIT{8000};
+constexpr milliseconds NEWS_WAIT{8000};
 /// A coordinator proves its right with each read, and has to see a successor soon; of the
 /// configuration it tells others how long ago it was the newest.
 constexpr milliseconds COORDINATOR_WAIT{1000};
@@ -22,6 +21,8 @@
 constexpr milliseconds FOLLOWED_TARGETS_INTERVAL{900};
 /// Other instances are told with each placement where to send the request.
 constexpr milliseconds IDLE_TARGETS_INTERVAL{8000};
+/// Changes of a longer time are not read one by one; two of the longer intervals of close reading.
+constexpr milliseconds MAX_CATCH_UP = FOLLOWED_TARGETS_INTERVAL * 2;
 /// How long targets are read at short intervals after the last sign that this is needed.
 constexpr milliseconds FOLLOW_TIME{3000};
 /// Owners of keys matter to others only while a coordinator is silent; a new coordinator is read of
@@ -176,9 +177,7 @@
         return milliseconds(0);
     if (item.stream == store_stream::Targets)
         return milliseconds(0);
-    if (m_listener.isCoordinating())
-        return COORDINATOR_WAIT;
-    return item.stream == store_stream::Configuration ? CONFIGURATION_WAIT : OWNERSHIP_WAIT;
+    return m_listener.isCoordinating() ? COORDINATOR_WAIT : NEWS_WAIT;
 }
 
 milliseconds store_feeds::pauseOf(const feed &item) const
@@ -245,7 +244,7 @@
 bool store_feeds::isWholeRead(const feed &item) const
 {
     const bool isLongAgo = item.stream != store_stream::Configuration
-            && boot_clock::now() > item.confirmedAt + FOLLOWED_TARGETS_INTERVAL * 2;
+            && boot_clock::now() > item.confirmedAt + MAX_CATCH_UP;
     return !item.isPositioned || isLongAgo;
 }
 
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -303,23 +303,22 @@
 }
 
 /// Plans one move from a target to the emptiest one.
-std::optional<range_move> planMove(holder_load &full, double mean, load_table &table,
+std::optional<range_move> planMove(holder_load &full, holder_load &empty, double mean,
                                    std::vector<range_assignment> &ranges, const key_load &load)
 {
-    auto *empty = leastLoaded(table);
-    if (!empty || &full == empty)
+    if (&full == &empty)
         return std::nullopt;
-    const bool hasNewcomer = empty->keys == 0;
+    const bool hasNewcomer = empty.keys == 0;
     const double excess = full.load() - mean * full.holder->capacity;
-    const double headroom = mean * empty->holder->capacity - empty->load();
-    const auto staying = fillingKey(full, *empty, ranges, load);
+    const double headroom = mean * empty.holder->capacity - empty.load();
+    const auto staying = fillingKey(full, empty, ranges, load);
     const double amount = hasNewcomer ? std::max(excess, full.load() / 2) : excess;
     const auto found = staying ? keysBeside(*staying, full, headroom, ranges, load)
-                               : excessKeys(full, *empty, std::min(amount, headroom), ranges, load);
+                               : excessKeys(full, empty, std::min(amount, headroom), ranges, load);
     if (!found)
         return std::nullopt;
-    shift(full, *empty, *found);
-    const range_move move{found->keys, full.holder->id, empty->holder->id};
+    shift(full, empty, *found);
+    const range_move move{found->keys, full.holder->id, empty.holder->id};
     reassign(ranges, move.keys, move.to);
     return move;
 }
@@ -338,10 +337,11 @@
         auto *full = mostLoaded(table, settled);
         if (!full)
             break;
+        auto &empty = *leastLoaded(table);
         const double mean = meanUtilisation(table, settled);
-        if (!isUneven(*full, mean) && leastLoaded(table)->keys > 0)
+        if (!isUneven(*full, mean) && empty.keys > 0)
             break;
-        const auto move = planMove(*full, mean, table, planned, load);
+        const auto move = planMove(*full, empty, mean, planned, load);
         if (move)
             moves.push_back(*move);
         else
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -60,10 +60,11 @@
         boost::asio::write(*socket, boost::asio::buffer(bytes));
     }
 
-    /// Ends the connection with a reset.
-    static void reset(const std::shared_ptr<tcp::socket> &socket)
+    /// Ends the connection in order, or with a reset.
+    static void end(const std::shared_ptr<tcp::socket> &socket, bool isReset)
     {
-        socket->set_option(boost::asio::socket_base::linger(true, 0));
+        if (isReset)
+            socket->set_option(boost::asio::socket_base::linger(true, 0));
         socket->close();
     }
 
@@ -279,10 +280,7 @@
                 byte_peer peer(path.context,
                                [&](byte_peer &, const std::shared_ptr<tcp::socket> &socket, int) {
                                    byte_peer::write(socket, answer.substr(0, cut));
-                                   if (isReset)
-                                       byte_peer::reset(socket);
-                                   else
-                                       socket->close();
+                                   byte_peer::end(socket, isReset);
                                });
                 const auto result = path.exchange(path.connect(), "1");
                 path.runUntil([&] { return result->failure.has_value(); });
@@ -303,10 +301,7 @@
                            byte_peer::write(socket, HEAD + "\r\nwhole");
                            timer.expires_after(milliseconds(20));
                            timer.async_wait([socket, isReset](boost::system::error_code) {
-                               if (isReset)
-                                   byte_peer::reset(socket);
-                               else
-                                   socket->close();
+                               byte_peer::end(socket, isReset);
                            });
                        });
         const auto result = path.exchange(path.connect(), "1");
--- a/tests/platform/peerviewtest.cpp
+++ b/tests/platform/peerviewtest.cpp
@@ -58,7 +58,7 @@
     relayed_news news;
     BOOST_CHECK(!news.isFresh(START));
     BOOST_CHECK(news.isDue(START));
-    news.noteAnswer(SERVICE, milliseconds(300), milliseconds(1000), START);
+    news.noteAnswer(milliseconds(300), milliseconds(1000), START);
     BOOST_CHECK(news.isFresh(START));
     BOOST_CHECK(!news.isDue(START));
     BOOST_CHECK(news.isFresh(START + milliseconds(999)));
@@ -71,7 +71,7 @@
 {
     relayed_news news;
     for (milliseconds age(0); age <= milliseconds(3000); age += milliseconds(100))
-        news.noteAnswer(SERVICE, age, age, START + age);
+        news.noteAnswer(age, age, START + age);
     BOOST_CHECK(!news.isFresh(START + relayed_news::MAX_NEWS_AGE));
 }
 
@@ -79,17 +79,17 @@
 BOOST_AUTO_TEST_CASE(hanging_read_of_the_configuration_relays_nothing)
 {
     relayed_news news;
-    news.noteAnswer(SERVICE, milliseconds(100),
-                    relayed_news::MAX_CONFIGURATION_AGE + milliseconds(1), START);
+    news.noteAnswer(milliseconds(100), relayed_news::MAX_CONFIGURATION_AGE + milliseconds(1),
+                    START);
     BOOST_CHECK(!news.isFresh(START));
 }
 
 BOOST_AUTO_TEST_CASE(one_fresh_coordinator_of_several_is_enough)
 {
     relayed_news news;
-    news.noteAnswer("catalogue", milliseconds(2000), milliseconds(100), START);
+    news.noteAnswer(milliseconds(2000), milliseconds(100), START);
     BOOST_CHECK(!news.isFresh(START));
-    news.noteAnswer(SERVICE, milliseconds(100), milliseconds(100), START);
+    news.noteAnswer(milliseconds(100), milliseconds(100), START);
     BOOST_CHECK(news.isFresh(START));
     BOOST_CHECK(!news.isDue(START));
 }
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -100,8 +100,7 @@
     {
         client.setCoordination(&choice);
         client.setStalenessHandler([](store_stream) {});
-        client.setTargetAge([] { return milliseconds(0); });
-        client.setConfigurationAge([] { return milliseconds(0); });
+        client.setStreamAge([](store_stream) { return milliseconds(0); });
         BOOST_REQUIRE(!channel.open(local(OWN_PORT),
                                     [this](const udp_endpoint &peer, const peer_message &message) {
                                         client.onMessage(peer, message);
--- a/tests/soak/chaosproxy.cpp
+++ b/tests/soak/chaosproxy.cpp
@@ -1,5 +1,7 @@
 #include "chaosproxy.h"
 
+#include "clementinebeam/asynchttp/sockets.h"
+
 #include <boost/asio/write.hpp>
 
 namespace clementinebeam::test {
@@ -20,14 +22,7 @@
 
 std::error_code chaos_proxy::listen(const tcp_endpoint &address)
 {
-    error_code error;
-    m_acceptor.open(address.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(address, error);
-    if (!error)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    const auto error = openAcceptor(m_acceptor, address);
     if (!error)
         accept();
     return error;
