Answer a connection that the listener accepted right before it stopped

Cause, found on reading the change again: under load the listener takes the next connection at once and hears of it in a later round of the event loop. If it had stopped meanwhile, the handler dropped the socket, and with it the request. Change: what was accepted is kept; after finishAll it ends after its request, as the others do. Test: serverconnectiontest request_that_was_accepted_right_before_a_stop_is_answered (red before).

--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -136,6 +136,7 @@
     i_request_handler &m_handler;
     std::unordered_set<std::shared_ptr<server_connection>> m_connections;
     std::size_t m_acceptedSinceSweep = 0;
+    bool m_isFinishing = false; ///< Connections end after one request.
 };
 
 /// @param status the status code.
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -226,6 +226,9 @@
 {
     m_acceptor.async_accept(
             [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                // The connection may have been accepted just before the listener stopped.
+                if (!error)
+                    take(std::move(socket));
                 if (!m_acceptor.is_open())
                     return;
                 if (error) {
@@ -237,7 +240,6 @@
                     });
                     return;
                 }
-                take(std::move(socket));
                 accept();
             });
 }
@@ -249,6 +251,8 @@
         forgetClosed();
     m_connections.insert(connection);
     connection->start();
+    if (m_isFinishing)
+        connection->finish();
 }
 
 void server_listener::forgetClosed()
@@ -273,6 +277,7 @@
 
 void server_listener::finishAll()
 {
+    m_isFinishing = true;
     forgetClosed();
     const auto connections = m_connections;
     for (const auto &connection : connections)
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -94,6 +94,24 @@
     checkWhole(received());
 }
 
+// The listener takes the next connection at once, and hears of it in a later round of the event
+// loop.
+BOOST_FIXTURE_TEST_CASE(request_that_was_accepted_right_before_a_stop_is_answered,
+                        stopping_listener)
+{
+    tcp::socket other(context);
+    other.connect(local());
+    send(REQUEST);
+    boost::asio::write(other, boost::asio::buffer(REQUEST));
+    context.poll_one();
+    stop();
+    std::string text;
+    boost::asio::async_read(other, boost::asio::dynamic_buffer(text),
+                            [](boost::system::error_code, std::size_t) {});
+    checkWhole(received());
+    checkWhole(text);
+}
+
 BOOST_FIXTURE_TEST_CASE(request_that_follows_its_connection_is_answered_at_a_stop,
                         stopping_listener)
 {
