--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -81,6 +81,8 @@
     struct started_request {
         request_token token = 0;
         instant start;
+        /// When a slot of the target was free for it; none while it waits there.
+        std::optional<instant> begun;
     };
 
     struct target_state {
@@ -122,6 +124,7 @@
     bool isStuck(const target_state &state, instant now) const;
     std::uint32_t occupancy(const target_state &state, instant now) const;
     static std::uint32_t externalRequestsOf(const target_state &state, instant now);
+    static void beginNext(target_state &state, instant now);
     static bool wasFull(const target_state &state, const run_report &report, instant now);
     std::uint32_t capacityOf(const target_state &state) const;
     /// Includes COLD_START_FACTOR, unlike typicalServiceTime().
--- a/include/clementinebeam/dispatch/targetestimate.h
+++ b/include/clementinebeam/dispatch/targetestimate.h
@@ -18,11 +18,16 @@
 
     /// Updates the estimate with the outcome of a request.
     /// @param report the outcome of the request at the target.
+    /// @param waitedAtTarget the part of its time at the target for which it waited for a slot.
     /// @param isFull whether the target had no free slot at that time, as far as is known.
-    void recordResult(const run_report &report, bool isFull, instant now);
+    void recordResult(const run_report &report, std::chrono::microseconds waitedAtTarget,
+                      bool isFull, instant now);
 
-    /// @return the expected service time of one request.
-    std::chrono::microseconds serviceTime() const { return m_serviceTime; }
+    /// @return the expected service time of one request, without its wait for a slot.
+    std::chrono::microseconds serviceTime() const
+    {
+        return std::chrono::microseconds(static_cast<std::int64_t>(m_steadyTime));
+    }
 
     /// @return the recent share of requests that the target rejected although it had free slots,
     ///     from 0 to 1.
@@ -40,11 +45,13 @@
     instant suspendedUntil() const { return m_suspendedUntil; }
 
 private:
+    void addSample(std::chrono::microseconds work);
     void suspend(std::chrono::milliseconds basePause, instant now);
     void updateRejectionShare(double sample, instant now);
 
-    std::chrono::microseconds m_serviceTime;
-    bool m_hasSample = false;
+    double m_recentTime; ///< Mean service time of the last few answers, in microseconds.
+    double m_steadyTime; ///< Mean over more answers, in microseconds.
+    std::uint32_t m_samples = 0;
     std::uint32_t m_failures = 0; ///< Failures, and rejections while full, since the last answer.
     instant m_suspendedUntil{};
     double m_rejectionShare = 0.0; ///< At m_rejectionShareAt; it decays with time.
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -279,7 +279,8 @@
 void service_dispatcher::dispatch(const dispatch_request &request, target_state &state, instant now,
                                   dispatch_decisions &decisions)
 {
-    state.running.push_back({request.token, now});
+    const bool hasFreeSlot = occupancy(state, now) < state.target.slots;
+    state.running.push_back({request.token, now, hasFreeSlot ? std::optional(now) : std::nullopt});
     dispatch_decision decision;
     decision.token = request.token;
     decision.target = state.target.id;
@@ -316,6 +317,16 @@
     return state.running.size() - 1 + externalRequestsOf(state, now) >= state.target.slots;
 }
 
+/// Notes that the slot of a request that ended is free for the next one that waits at the target.
+void service_dispatcher::beginNext(target_state &state, instant now)
+{
+    const auto next =
+            std::find_if(state.running.begin(), state.running.end(),
+                         [](const started_request &item) { return !item.begun.has_value(); });
+    if (next != state.running.end())
+        next->begun = now;
+}
+
 void service_dispatcher::release(const run_report &report, instant now)
 {
     const auto found = m_running.find(report.token);
@@ -327,9 +338,14 @@
         return;
     auto &state = target->second;
     const bool isFull = wasFull(state, report, now);
-    std::erase_if(state.running,
-                  [&](const started_request &item) { return item.token == report.token; });
-    state.estimate.recordResult(report, isFull, now);
+    const auto ended =
+            std::find_if(state.running.begin(), state.running.end(),
+                         [&](const started_request &item) { return item.token == report.token; });
+    const auto waited = ended->begun ? *ended->begun - ended->start : instant::duration{};
+    state.running.erase(ended);
+    beginNext(state, now);
+    state.estimate.recordResult(report, std::chrono::duration_cast<microseconds>(waited), isFull,
+                                now);
     updateMeanServiceTime();
     if (report.load) {
         const auto reported = report.load->running + report.load->waiting;
--- a/src/dispatch/internal/targetestimate.cpp
+++ b/src/dispatch/internal/targetestimate.cpp
@@ -7,10 +7,22 @@
 
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Weight of the newest answer in the moving average, which covers about the last eight answers.
-constexpr double SMOOTHING_FACTOR = 0.2;
+/// Least weight of the newest answer in the steady mean, which covers about the last 40 answers.
+constexpr double STEADY_WEIGHT = 0.05;
+/// Weight of the newest answer in the recent mean, which covers about the last six answers.
+constexpr double RECENT_WEIGHT = 0.3;
+/// Ratio of the recent to the steady mean, or of the steady to the recent one, from which the
+/// target's speed has changed.
+constexpr double CHANGE_RATIO = 2.0;
+/// An answer counts as at most this multiple of the recent mean, as service times have a long tail.
+constexpr double MAX_SAMPLE_RATIO = 4.0;
+/// Answers that the steady mean counts for after the target's speed has changed.
+constexpr std::uint32_t SAMPLES_AFTER_CHANGE = 3;
+/// Weight of the newest rejection or answer in the rejection share.
+constexpr double REJECTION_WEIGHT = 0.2;
 /// Suspension after a rejection by a full target: about one service time, until a slot is free.
 constexpr milliseconds REJECTION_PAUSE{60};
 /// First suspension after a lost connection. It doubles with each further failure up to MAX_PAUSE,
@@ -27,19 +39,16 @@
 } // namespace
 
 target_estimate::target_estimate(std::chrono::microseconds initial)
-    : m_serviceTime(initial)
+    : m_recentTime(static_cast<double>(initial.count()))
+    , m_steadyTime(m_recentTime)
 { }
 
-void target_estimate::recordResult(const run_report &report, bool isFull, instant now)
+void target_estimate::recordResult(const run_report &report, microseconds waitedAtTarget,
+                                   bool isFull, instant now)
 {
     switch (report.result) {
     case run_result::Answered: {
-        const auto sample = static_cast<double>(report.duration.count());
-        const auto mean = static_cast<double>(m_serviceTime.count());
-        const double weight = m_hasSample ? SMOOTHING_FACTOR : 0.5;
-        m_serviceTime = std::chrono::microseconds(
-                static_cast<std::int64_t>(mean + weight * (sample - mean)));
-        m_hasSample = true;
+        addSample(std::max(report.duration - waitedAtTarget, microseconds(0)));
         updateRejectionShare(0.0, now);
         m_failures = 0;
         m_suspendedUntil = instant{};
@@ -65,6 +74,22 @@
     }
 }
 
+void target_estimate::addSample(microseconds work)
+{
+    ++m_samples;
+    const double sample =
+            std::min(static_cast<double>(work.count()), MAX_SAMPLE_RATIO * m_recentTime);
+    m_recentTime += RECENT_WEIGHT * (sample - m_recentTime);
+    // The initial time counts as one sample.
+    const double weight = std::max(STEADY_WEIGHT, 1.0 / (m_samples + 1));
+    m_steadyTime += weight * (sample - m_steadyTime);
+    const double ratio = m_recentTime / std::max(1.0, m_steadyTime);
+    if (ratio > CHANGE_RATIO || ratio < 1.0 / CHANGE_RATIO) {
+        m_steadyTime = m_recentTime;
+        m_samples = SAMPLES_AFTER_CHANGE;
+    }
+}
+
 double target_estimate::rejectionShare(instant now) const
 {
     const double age = std::chrono::duration<double>(now - m_rejectionShareAt).count();
@@ -74,7 +99,7 @@
 void target_estimate::updateRejectionShare(double sample, instant now)
 {
     const double share = rejectionShare(now);
-    m_rejectionShare = share + SMOOTHING_FACTOR * (sample - share);
+    m_rejectionShare = share + REJECTION_WEIGHT * (sample - share);
     m_rejectionShareAt = now;
 }
 
