Plan moves of keys by what targets can run, while other moves are under way

Cause: planning stopped while any range moved, moved the busiest keys of a short observation (whose load is overestimated), stopped within the noise of the measured load, and gave slow and fast targets the same utilisation. A key that fills its target stayed at a slow one. Change: moving ranges count at their destination; keys are cut from the edges of ranges; a target that is unloaded is unloaded to the balanced load; spare capacity is balanced by the square root of the capacity; a key that fills its target moves to one that is faster by half.

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -181,6 +181,7 @@
     void assignUnowned(instant now);
     bool unifyFences();
     static fence_number fenceToRelease(const owned_range &range);
+    bool isMoving() const;
     bool isFragmented() const;
     bool isAvailable(const key_holder &target, instant now) const;
     void assign(owned_range &range, const key_holder &target);
@@ -191,7 +192,9 @@
     static bool isMergeable(const owned_range &left, const owned_range &right);
     std::chrono::milliseconds holdTime(instant now) const;
     std::vector<range_assignment> assignments() const;
+    static bool isSettled(const owned_range &range);
     std::vector<range_assignment> settledAssignments() const;
+    std::vector<range_assignment> movingAssignments() const;
 
     coordinator_settings m_settings;
     ownership_record m_record; ///< Without ranges; these are in m_ranges.
--- a/include/clementinebeam/keyspace/rangeplanner.h
+++ b/include/clementinebeam/keyspace/rangeplanner.h
@@ -21,10 +21,13 @@
     /// @param holders targets that may own keys.
     /// @param ranges assignments in order of keys, possibly with gaps; those without a target are
     ///     ignored.
+    /// @param moving ranges on the way to the given targets, which can't be moved now; their load
+    ///     counts there.
     /// @param load request rates by key.
     /// @return moves of ranges that have an owner now.
     std::vector<range_move> rebalance(const std::vector<key_holder> &holders,
                                       const std::vector<range_assignment> &ranges,
+                                      const std::vector<range_assignment> &moving,
                                       const key_load &load) const;
 
     /// Moves narrow idle ranges to the owner of the preceding range, so that they can be merged.
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -315,21 +315,24 @@
 
 void key_coordinator::plan(instant now)
 {
-    const bool isMoving = std::any_of(m_ranges.begin(), m_ranges.end(),
-                                      [](const auto &range) { return !range.destination.empty(); });
-    // The load of moving ranges would be attributed wrongly, so no moves are planned meanwhile.
-    if (isMoving || !m_isStoreReachable)
+    if (!m_isStoreReachable)
         return;
     const auto settled = settledAssignments();
-    auto moves = m_planner.rebalance(availableHolders(now), settled, m_load);
+    auto moves = m_planner.rebalance(availableHolders(now), settled, movingAssignments(), m_load);
     // Tokens are unified only if no range is to move, as a release needs the token that the target
     // holds.
-    if (moves.empty() && isFragmented() && !unifyFences())
+    if (moves.empty() && !isMoving() && isFragmented() && !unifyFences())
         moves = m_planner.consolidate(settled, m_load);
     for (const auto &move : moves)
         markReleasing(move);
 }
 
+bool key_coordinator::isMoving() const
+{
+    return std::any_of(m_ranges.begin(), m_ranges.end(),
+                       [](const auto &range) { return !range.destination.empty(); });
+}
+
 bool key_coordinator::isFragmented() const
 {
     return m_ranges.size()
@@ -494,18 +497,37 @@
     return result;
 }
 
+/// @return whether the target has accepted the range with its latest token.
+bool key_coordinator::isSettled(const owned_range &range)
+{
+    return range.state == range_state::Assigned && range.isAccepted
+            && range.acceptedFence == range.assignment.fence;
+}
+
 std::vector<range_assignment> key_coordinator::settledAssignments() const
 {
     std::vector<range_assignment> result;
     for (const auto &range : m_ranges) {
-        // A range is not settled until its target has accepted the latest token.
-        if (range.state == range_state::Assigned && range.isAccepted
-            && range.acceptedFence == range.assignment.fence)
+        if (isSettled(range))
             result.push_back(range.assignment);
     }
     return result;
 }
 
+/// @return the ranges that are not settled, with the targets that are to own them.
+std::vector<range_assignment> key_coordinator::movingAssignments() const
+{
+    std::vector<range_assignment> result;
+    for (const auto &range : m_ranges) {
+        if (isSettled(range))
+            continue;
+        result.push_back(range.assignment);
+        if (!range.destination.empty())
+            result.back().target = range.destination;
+    }
+    return result;
+}
+
 ownership_record key_coordinator::record() const
 {
     auto record = m_record;
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -12,38 +12,40 @@
 
 /// Load added to each key, so that ranges without requests are spread evenly.
 constexpr double BASE_LOAD = 1.0 / KEY_COUNT;
-/// Utilisation above which a target gives keys away already if it exceeds the mean by a tenth.
-constexpr double HIGH_UTILISATION = 0.80;
-/// Ratio to the mean utilisation above which a target gives keys away at a lower utilisation.
-constexpr double IMBALANCE_RATIO = 1.35;
+/// Excess over the balanced load from which a target gives keys away, as a share of its capacity.
+constexpr double MIN_EXCESS = 0.12;
+/// A target that gives keys away goes on until its excess is below this share of its capacity.
+constexpr double REMAINING_EXCESS = 0.05;
 /// Utilisation up to which an imbalance is tolerated.
 constexpr double TOLERATED_UTILISATION = 0.35;
 /// The recent load counts as a spike if it exceeds the steady load by this factor and this many
 /// requests a second.
 constexpr double HOT_RATIO = 1.3;
 constexpr double HOT_EXCESS = 5.0;
-/// Largest number of keys in a narrow range or window. During a load spike, the window to move is
-/// narrowed down to this width, as hot keys lie close to one another, by halving its load up to
-/// MAX_HALVINGS times; it may stay wider. Without a spike it is not narrowed.
+/// Largest number of keys in a narrow range.
 constexpr std::size_t MAX_NARROW_WIDTH = 256;
-constexpr int MAX_HALVINGS = 4;
 /// Smallest excess over the balanced load, in standard deviations of the measured rate.
-constexpr double MIN_DEVIATIONS = 2.5;
+constexpr double MIN_DEVIATIONS = 1.5;
+/// Shortest time over which a rate is taken as measured.
+constexpr std::chrono::duration<double> MIN_WINDOW{0.1};
 /// Requests a second below which a narrow range counts as idle.
 constexpr double IDLE_RATE = 0.5;
 constexpr std::size_t MAX_CONSOLIDATIONS = 12;
-/// A move has to lower the higher utilisation of the two targets to at most this share of it.
-constexpr double MAX_REMAINING_SHARE = 0.95;
+/// A move has to raise the lower spare capacity of the two targets by this much, in spare units.
+constexpr double MIN_GAIN = 0.1;
 
 /// Share of a target's capacity from which a single key saturates it.
 constexpr double SATURATION_SHARE = 0.8;
-/// A saturating key is moved only if the other target is faster by this factor: a saturated target
-/// looks slower than it is.
-constexpr double MIN_SPEEDUP = 3.0;
+/// A saturating key is moved only to a target that is faster by this factor, as estimates of the
+/// capacity vary.
+constexpr double MIN_SPEEDUP = 1.5;
 
 /// Smallest load to move away from the target of a saturating key, as a share of its capacity.
 constexpr double MIN_MOVED_SHARE = 0.05;
 
+/// Ratio of all keys to busy ones from which only the busy ones move.
+constexpr std::size_t MIN_IDLE_RATIO = 4;
+
 /// Load of one target while moves are planned.
 struct holder_load {
     const key_holder *holder = nullptr;
@@ -53,7 +55,19 @@
 
     bool isHot() const { return recent > steady * HOT_RATIO + HOT_EXCESS; }
     double load() const { return isHot() ? recent : steady; }
-    double utilisation() const { return load() / std::max(0.001, holder->capacity); }
+    double capacity() const { return std::max(0.001, holder->capacity); }
+    double utilisation() const { return load() / capacity(); }
+    /// Unit in which the spare capacity of different targets is compared. Spare capacity in
+    /// proportion to the square root of the capacity gives the shortest mean wait over all targets:
+    /// fast ones are used more than slow ones.
+    double spareUnit() const { return std::sqrt(capacity()); }
+    /// Unused capacity, in units of spareUnit().
+    double spare() const { return (capacity() - load()) / spareUnit(); }
+    /// Load beyond that at which the target has the given spare capacity; negative if it has more.
+    double excessOver(double balancedSpare) const
+    {
+        return load() - std::max(0.0, capacity() - balancedSpare * spareUnit());
+    }
 };
 
 using load_table = std::map<target_id, holder_load>;
@@ -63,14 +77,8 @@
     return BASE_LOAD + (useRecentRate ? load.recent(key) : load.steady(key));
 }
 
-load_table loadTableOf(const std::vector<key_holder> &holders,
-                       const std::vector<range_assignment> &ranges, const key_load &load)
+void addLoads(load_table &table, const std::vector<range_assignment> &ranges, const key_load &load)
 {
-    load_table table;
-    for (const auto &holder : holders) {
-        if (!holder.isLeaving)
-            table[holder.id].holder = &holder;
-    }
     for (const auto &range : ranges) {
         const auto found = table.find(range.target);
         if (found == table.end())
@@ -82,6 +90,17 @@
             item.steady += keyLoad(load, key, false);
         }
     }
+}
+
+load_table loadTableOf(const std::vector<key_holder> &holders,
+                       const std::vector<range_assignment> &ranges, const key_load &load)
+{
+    load_table table;
+    for (const auto &holder : holders) {
+        if (!holder.isLeaving)
+            table[holder.id].holder = &holder;
+    }
+    addLoads(table, ranges, load);
     return table;
 }
 
@@ -89,7 +108,7 @@
 {
     holder_load *best = nullptr;
     for (auto &[id, item] : table) {
-        if (!best || item.utilisation() < best->utilisation())
+        if (!best || item.spare() > best->spare())
             best = &item;
     }
     return best;
@@ -102,7 +121,7 @@
     for (auto &[id, item] : table) {
         if (skipped.contains(id))
             continue;
-        if (!best || item.utilisation() > best->utilisation())
+        if (!best || item.spare() < best->spare())
             best = &item;
     }
     return best;
@@ -110,17 +129,17 @@
 
 /// @param skipped targets for which no useful move was found; they are left out, as their load
 /// can't be distributed.
-double meanUtilisation(const load_table &table, const std::set<target_id> &skipped)
+double balancedSpare(const load_table &table, const std::set<target_id> &skipped)
 {
-    double load = 0.0;
-    double capacity = 0.0;
+    double spare = 0.0;
+    double units = 0.0;
     for (const auto &[id, item] : table) {
         if (skipped.contains(id))
             continue;
-        load += item.load();
-        capacity += item.holder->capacity;
+        spare += item.capacity() - item.load();
+        units += item.spareUnit();
     }
-    return capacity > 0.0 ? load / capacity : 0.0;
+    return units > 0.0 ? spare / units : 0.0;
 }
 
 struct window {
@@ -139,54 +158,68 @@
     return result;
 }
 
-/// @return the narrowest window of a range that carries at least the given load.
-std::optional<key_range> narrowestWindow(const key_range &range, const key_load &load,
-                                         bool useRecentRate, double amount)
+/// @return the longest part of a range, from its first or from its last key on, that carries at
+/// most
+///     the given load; none if its outermost key carries more.
+std::optional<key_range> cutFromEdge(const key_range &range, const key_load &load,
+                                     bool useRecentRate, double amount, bool isFirstEdge)
 {
-    std::optional<key_range> best;
     double sum = 0.0;
-    key_number start = range.first;
-    for (key_number end = range.first; end <= range.last; ++end) {
-        sum += keyLoad(load, end, useRecentRate);
-        while (start < end && sum - keyLoad(load, start, useRecentRate) >= amount) {
-            sum -= keyLoad(load, start, useRecentRate);
-            ++start;
-        }
-        if (sum >= amount && (!best || end - start + 1 < best->size()))
-            best = key_range{start, end};
+    std::size_t count = 0;
+    for (; count < range.size(); ++count) {
+        const auto offset = static_cast<key_number>(count);
+        const auto key = isFirstEdge ? range.first + offset : range.last - offset;
+        sum += keyLoad(load, key, useRecentRate);
+        if (sum > amount)
+            break;
     }
-    return best;
+    if (count == 0)
+        return std::nullopt;
+    const auto width = static_cast<key_number>(count - 1);
+    return isFirstEdge ? key_range{range.first, range.first + width}
+                       : key_range{range.last - width, range.last};
 }
 
-std::optional<window> bestWindow(const target_id &owner, bool useRecentRate, double amount,
+/// Leaves out the outer keys of a part to be moved that have no requests, if these are most of it.
+/// During a load spike on a few neighbouring keys, only these move.
+key_range withoutIdleEdges(const key_range &keys, const key_load &load)
+{
+    auto busy = keys;
+    while (busy.size() > 1 && load.recent(busy.first) <= 0.0)
+        ++busy.first;
+    while (busy.size() > 1 && load.recent(busy.last) <= 0.0)
+        --busy.last;
+    return busy.size() * MIN_IDLE_RATIO <= keys.size() ? busy : keys;
+}
+
+/// Picks keys to move from the edges of a target's ranges: the part with the most load up to the
+/// given one, and among equal ones that with the fewest keys. Cutting at edges keeps the number of
+/// ranges low, and unlike the busiest keys of a short observation their load is not overestimated.
+/// @param movesIdleKeys whether idle keys next to the busy ones move as well.
+std::optional<window> keysToMove(const holder_load &source, double amount, bool movesIdleKeys,
                                  const std::vector<range_assignment> &ranges, const key_load &load)
 {
-    std::optional<key_range> best;
+    std::optional<window> best;
+    const bool useRecentRate = source.isHot();
+    const auto loadOf = [&](const window &item) {
+        return useRecentRate ? item.recent : item.steady;
+    };
     for (const auto &range : ranges) {
-        if (range.target != owner)
+        if (range.target != source.holder->id)
             continue;
-        const auto found = narrowestWindow(range.keys, load, useRecentRate, amount);
-        if (found && (!best || found->size() < best->size()))
-            best = found;
+        for (const bool isFirstEdge : {true, false}) {
+            const auto keys = cutFromEdge(range.keys, load, useRecentRate, amount, isFirstEdge);
+            if (!keys)
+                continue;
+            const auto item =
+                    measureWindow(movesIdleKeys ? *keys : withoutIdleEdges(*keys, load), load);
+            if (!best || loadOf(item) > loadOf(*best))
+                best = item;
+        }
     }
-    if (!best)
+    if (!best || loadOf(*best) < MIN_MOVED_SHARE * source.holder->capacity)
         return std::nullopt;
-    return measureWindow(*best, load);
-}
-
-/// Picks the keys to move: during a load spike a narrow window if possible, even if it carries only
-/// part of the excess.
-std::optional<window> windowFor(const holder_load &source, double amount,
-                                const std::vector<range_assignment> &ranges, const key_load &load)
-{
-    auto found = bestWindow(source.holder->id, source.isHot(), amount, ranges, load);
-    for (int halving = 0; source.isHot() && halving < MAX_HALVINGS; ++halving) {
-        if (found && found->keys.size() <= MAX_NARROW_WIDTH)
-            break;
-        amount /= 2.0;
-        found = bestWindow(source.holder->id, true, amount, ranges, load);
-    }
-    return found;
+    return best;
 }
 
 void transferLoad(holder_load &from, holder_load &to, const window &item)
@@ -226,21 +259,18 @@
 }
 
 /// @return the standard deviation of a target's measured rate if requests arrive independently.
-double standardDeviation(const holder_load &item)
+double standardDeviation(const holder_load &item, const key_load &load)
 {
-    const double window = item.isHot() ? key_load::RECENT_SECONDS : key_load::STEADY_SECONDS;
-    return std::sqrt(std::max(0.0, item.load()) / (2.0 * window));
+    const auto window = item.isHot() ? load.recentWindow() : load.steadyWindow();
+    return std::sqrt(std::max(0.0, item.load()) / std::max(MIN_WINDOW, window).count());
 }
 
-bool isImbalanced(const holder_load &source, double mean)
+bool isImbalanced(const holder_load &source, double spare, const key_load &load)
 {
-    const double utilisation = source.utilisation();
-    const double excess = source.load() - mean * source.holder->capacity;
-    if (excess < MIN_DEVIATIONS * standardDeviation(source))
-        return false;
-    if (utilisation > HIGH_UTILISATION && utilisation > mean * 1.1)
-        return true;
-    return utilisation > TOLERATED_UTILISATION && utilisation > mean * IMBALANCE_RATIO;
+    const double excess = source.excessOver(spare);
+    return excess > MIN_DEVIATIONS * standardDeviation(source, load)
+            && excess > MIN_EXCESS * source.capacity()
+            && source.utilisation() > TOLERATED_UTILISATION;
 }
 
 /// @return the key of a target with the highest load, if it owns any.
@@ -264,18 +294,31 @@
     return heaviest;
 }
 
-/// @return a key that would saturate the other target as it saturates its own, or none. Moving it
-/// would gain nothing and leave it without an owner for some time.
-std::optional<key_number> saturatingKey(const holder_load &source, const holder_load &other,
+/// @return the key of a target that takes most of its capacity by itself, if there is one.
+std::optional<key_number> saturatingKey(const holder_load &item,
                                         const std::vector<range_assignment> &ranges,
                                         const key_load &load)
 {
-    const auto key = heaviestKey(source, ranges, load);
-    const double capacity = other.holder->capacity;
-    if (!key || keyLoad(load, *key, source.isHot()) < SATURATION_SHARE * capacity
-        || capacity > MIN_SPEEDUP * source.holder->capacity)
-        return std::nullopt;
-    return key;
+    const auto key = heaviestKey(item, ranges, load);
+    const bool saturates =
+            key && keyLoad(load, *key, item.isHot()) >= SATURATION_SHARE * item.holder->capacity;
+    return saturates ? key : std::nullopt;
+}
+
+/// @return the target that can run most requests of a key that saturates its present one: it is
+///     faster by MIN_SPEEDUP and has no such key itself; null if there is none.
+holder_load *fasterTarget(load_table &table, const holder_load &source,
+                          const std::vector<range_assignment> &ranges, const key_load &load)
+{
+    holder_load *best = nullptr;
+    double leastCapacity = source.holder->capacity * MIN_SPEEDUP;
+    for (auto &[id, item] : table) {
+        if (item.holder->capacity < leastCapacity || saturatingKey(item, ranges, load))
+            continue;
+        best = &item;
+        leastCapacity = item.holder->capacity;
+    }
+    return best;
 }
 
 /// Picks keys to move away from the target of a saturating key, as many as the other target has
@@ -286,70 +329,85 @@
 {
     reassign(ranges, {stayingKey, stayingKey}, {});
     const double others = source.load() - keyLoad(load, stayingKey, source.isHot());
-    double amount = std::min(others, headroom);
-    const double minAmount = MIN_MOVED_SHARE * source.holder->capacity;
-    std::optional<window> found;
-    for (; !found && amount >= minAmount; amount /= 2.0)
-        found = bestWindow(source.holder->id, source.isHot(), amount, ranges, load);
-    return found;
+    return keysToMove(source, std::min(others, headroom), true, ranges, load);
 }
 
 /// Picks keys whose move lowers the higher utilisation of the two targets.
 std::optional<window> excessKeys(const holder_load &source, const holder_load &other, double amount,
                                  const std::vector<range_assignment> &ranges, const key_load &load)
 {
-    const auto found =
-            amount > 0.0 ? windowFor(source, amount, ranges, load) : std::optional<window>();
+    const auto found = amount > 0.0 ? keysToMove(source, amount, false, ranges, load)
+                                    : std::optional<window>();
     if (!found)
         return std::nullopt;
     auto newSource = source;
     auto newOther = other;
     transferLoad(newSource, newOther, *found);
-    const double after = std::max(newSource.utilisation(), newOther.utilisation());
-    return after > source.utilisation() * MAX_REMAINING_SHARE ? std::nullopt : found;
+    const double after = std::min(newSource.spare(), newOther.spare());
+    return after < source.spare() + MIN_GAIN ? std::nullopt : found;
 }
 
-/// Plans one move from a target to the least loaded one.
-std::optional<range_move> planMove(holder_load &source, holder_load &destination, double mean,
-                                   std::vector<range_assignment> &ranges, const key_load &load)
+/// Moves keys in the table and in the list of assignments.
+range_move apply(const window &item, holder_load &from, holder_load &to,
+                 std::vector<range_assignment> &ranges)
+{
+    transferLoad(from, to, item);
+    reassign(ranges, item.keys, to.holder->id);
+    return {item.keys, from.holder->id, to.holder->id};
+}
+
+/// Plans one move away from a target: of a saturating key to a faster target, or else of other keys
+/// to the least loaded one.
+std::optional<range_move> planMove(load_table &table, holder_load &source, holder_load &destination,
+                                   double spare, std::vector<range_assignment> &ranges,
+                                   const key_load &load)
 {
     if (&source == &destination)
         return std::nullopt;
+    const auto hotKey = saturatingKey(source, ranges, load);
+    if (hotKey) {
+        if (auto *faster = fasterTarget(table, source, ranges, load))
+            return apply(measureWindow({*hotKey, *hotKey}, load), source, *faster, ranges);
+    }
     const bool isNewTarget = destination.keys == 0;
-    const double excess = source.load() - mean * source.holder->capacity;
-    const double headroom = mean * destination.holder->capacity - destination.load();
-    const auto stayingKey = saturatingKey(source, destination, ranges, load);
+    const double excess = source.excessOver(spare);
+    const double headroom = -destination.excessOver(spare);
     const double amount = isNewTarget ? std::max(excess, source.load() / 2) : excess;
-    const auto found = stayingKey
-            ? otherKeysToMove(*stayingKey, source, headroom, ranges, load)
+    const auto found = hotKey
+            ? otherKeysToMove(*hotKey, source, headroom, ranges, load)
             : excessKeys(source, destination, std::min(amount, headroom), ranges, load);
     if (!found)
         return std::nullopt;
-    transferLoad(source, destination, *found);
-    const range_move move{found->keys, source.holder->id, destination.holder->id};
-    reassign(ranges, move.keys, move.to);
-    return move;
+    return apply(*found, source, destination, ranges);
 }
 
 } // namespace
 
 std::vector<range_move> range_planner::rebalance(const std::vector<key_holder> &holders,
                                                  const std::vector<range_assignment> &ranges,
+                                                 const std::vector<range_assignment> &moving,
                                                  const key_load &load) const
 {
     auto table = loadTableOf(holders, ranges, load);
+    addLoads(table, moving, load);
     auto planned = ranges;
     std::vector<range_move> moves;
     std::set<target_id> skipped;
+    std::set<target_id> unloading;
     while (moves.size() < std::max(MIN_MOVES, holders.size())) {
         auto *source = mostLoaded(table, skipped);
         if (!source)
             break;
         auto &destination = *leastLoaded(table);
-        const double mean = meanUtilisation(table, skipped);
-        if (!isImbalanced(*source, mean) && destination.keys > 0)
+        const double spare = balancedSpare(table, skipped);
+        const auto &id = source->holder->id;
+        const bool mustUnload = unloading.contains(id)
+                ? source->excessOver(spare) > REMAINING_EXCESS * source->capacity()
+                : isImbalanced(*source, spare, load);
+        if (!mustUnload && destination.keys > 0)
             break;
-        const auto move = planMove(*source, destination, mean, planned, load);
+        unloading.insert(id);
+        const auto move = planMove(table, *source, destination, spare, planned, load);
         if (move)
             moves.push_back(*move);
         else
