A coordinator whose grants are superseded places no more requests

Change: a grant that a target refused for a higher token shows a successor, unless the store confirms the coordinator afterwards. It then answers as one that does not coordinate, and instances find the successor through peers.

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -30,6 +30,9 @@
     std::chrono::milliseconds transmissionMargin{150}; ///< Allowance for transmission delays.
     /// Average number of ranges per target above which idle ranges are merged.
     std::size_t rangesPerTarget = 5;
+    /// Time within which a coordinator whose grant was superseded is usually confirmed, if it is
+    /// the newest.
+    std::chrono::milliseconds confirmationTimeout{250};
     /// How long a target that could not be reached gets no keys.
     std::chrono::milliseconds unreachableCooldown{3000};
 };
@@ -67,6 +70,18 @@
     void confirmAuthority(instant confirmedAt)
     {
         m_authorityConfirmedAt = std::max(m_authorityConfirmedAt, confirmedAt);
+        if (m_supersededAt && confirmedAt > *m_supersededAt)
+            m_supersededAt.reset();
+    }
+
+    /// Tells whether a successor has probably taken over: targets refused a grant for a higher
+    /// fencing token, and the store has not confirmed since then that this coordinator is the
+    /// newest. A coordinator that the store refuses learns of its successor only in this way.
+    /// @param now the present time.
+    /// @return whether requests should go to another coordinator.
+    bool isSuperseded(instant now) const
+    {
+        return m_supersededAt && now >= *m_supersededAt + m_settings.confirmationTimeout;
     }
 
     /// A target that restarts forgets all tokens, so a coordinator that was replaced meanwhile
@@ -205,6 +220,7 @@
     key_load m_load;
     range_planner m_planner;
     instant m_authorityConfirmedAt;
+    std::optional<instant> m_supersededAt; ///< First refusal that the store has not refuted.
     instant m_nextPlan{};
     bool m_isStoreReachable = true;
     bool m_isStoring = false;
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -76,6 +76,12 @@
 
     void setStoreReachable(bool isReachable);
 
+    /// @return whether a successor has probably taken over.
+    bool isSuperseded() const
+    {
+        return m_keyCoordinator && m_keyCoordinator->isSuperseded(boot_clock::now());
+    }
+
     /// Called when a record of this coordinator has been stored.
     /// @param nextFence the next fence to assign, as in that record.
     void onStored(fence_number nextFence);
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -145,6 +145,12 @@
     return found == m_coordinated.end() ? nullptr : found->second.get();
 }
 
+coordinated_service *coordination::placing(const service_name &service)
+{
+    auto *own = coordinated(service);
+    return own && !own->isSuperseded() ? own : nullptr;
+}
+
 const ownership_record *coordination::record(const service_name &service) const
 {
     const auto found = m_records.find(service);
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -95,6 +95,10 @@
     ///     it.
     coordinated_service *coordinated(const service_name &service);
 
+    /// @return the service if this instance is to place its requests, or null if another instance
+    ///     coordinates it, also if that one is not known yet.
+    coordinated_service *placing(const service_name &service);
+
     /// @return the newest ownership record of a service, or null.
     const ownership_record *record(const service_name &service) const;
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -143,7 +143,7 @@
 
 void placement_client::requestPlacement(const pending_pointer &item)
 {
-    if (auto *own = m_coordination->coordinated(item->service)) {
+    if (auto *own = m_coordination->placing(item->service)) {
         m_placed[item->request.token] = {decider::Coordination, {}};
         own->enqueue(item->request);
         return;
@@ -449,7 +449,7 @@
 void placement_client::handleQuery(const udp_endpoint &peer,
                                    const coordinator_query_message &message)
 {
-    if (!m_coordination->coordinated(message.service)) {
+    if (!m_coordination->placing(message.service)) {
         sendNotCoordinator(peer, message.service, 0);
         return;
     }
@@ -462,7 +462,7 @@
                                           const place_request_message &message)
 {
     checkConfigurationVersion(message.configuration);
-    auto *own = m_coordination->coordinated(message.service);
+    auto *own = m_coordination->placing(message.service);
     if (!own) {
         sendNotCoordinator(peer, message.service, message.token);
         return;
@@ -645,7 +645,7 @@
     if (!m_relayedView.isQueryDue(boot_clock::now()))
         return;
     for (const auto &[service, known] : m_coordinators.all()) {
-        if (!m_coordination->coordinated(service))
+        if (!m_coordination->placing(service))
             queryCoordinator(service);
     }
 }
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -105,6 +105,8 @@
         case order_result::Superseded:
             // If another coordinator has taken over, storing the new token fails, which ends this
             // coordinator.
+            if (!m_supersededAt)
+                m_supersededAt = now;
             range.assignment.fence = m_record.nextFence++;
             range.isStored = false;
             range.isAccepted = false;
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -149,6 +149,23 @@
     }
 }
 
+// The store refuses the coordinator's calls, so that only targets show that it was replaced.
+BOOST_AUTO_TEST_CASE(refused_grants_show_a_successor_until_the_store_refutes_it)
+{
+    key_coordinator coordinator(SETTINGS, {}, START, START);
+    coordinator.setHolders({makeHolder("a")});
+    coordinator.advance(START);
+    coordinator.onStored(coordinator.record().nextFence);
+    const auto grant = coordinator.advance(START).grants.at(0);
+    coordinator.onGrantResult(grant, order_result::Superseded, START);
+    BOOST_CHECK(!coordinator.isSuperseded(START + milliseconds(100)));
+    BOOST_CHECK(coordinator.isSuperseded(START + milliseconds(300)));
+    coordinator.confirmAuthority(START - milliseconds(1));
+    BOOST_CHECK(coordinator.isSuperseded(START + milliseconds(300)));
+    coordinator.confirmAuthority(START + milliseconds(1));
+    BOOST_CHECK(!coordinator.isSuperseded(START + milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(no_hold_outlasts_the_authority)
 {
     key_coordinator coordinator(SETTINGS, {}, START, START);
