Learn service times from requests that got no answer, and forget old ones

Targets without keys kept their last estimate for good. Change: a request that ended without an answer counts with the time it had run and the mean on top; an estimate without answers for 3 s approaches the service's mean.

--- a/include/clementinebeam/dispatch/targetestimate.h
+++ b/include/clementinebeam/dispatch/targetestimate.h
@@ -23,6 +23,11 @@
     void recordResult(const run_report &report, std::chrono::microseconds waitedAtTarget,
                       bool isFull, instant now);
 
+    /// Lets the estimate of a target without recent answers approach the service's mean, so that a
+    /// target that was slow gets requests again; to be called regularly.
+    /// @param mean the mean service time of the service's targets.
+    void forget(std::chrono::microseconds mean, instant now);
+
     /// @return the expected service time of one request, without its wait for a slot.
     std::chrono::microseconds serviceTime() const
     {
@@ -45,13 +50,15 @@
     instant suspendedUntil() const { return m_suspendedUntil; }
 
 private:
-    void addSample(std::chrono::microseconds work);
+    void addUnfinished(std::chrono::microseconds work, instant now);
+    void addSample(std::chrono::microseconds work, instant now);
     void suspend(std::chrono::milliseconds basePause, instant now);
     void updateRejectionShare(double sample, instant now);
 
     double m_recentTime; ///< Mean service time of the last few answers, in microseconds.
     double m_steadyTime; ///< Mean over more answers, in microseconds.
     std::uint32_t m_samples = 0;
+    instant m_sampledAt{}; ///< Last sample, or last call of forget() that changed the estimate.
     std::uint32_t m_failures = 0; ///< Failures, and rejections while full, since the last answer.
     instant m_suspendedUntil{};
     double m_rejectionShare = 0.0; ///< At m_rejectionShareAt; it decays with time.
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -62,6 +62,8 @@
         return !entry.second.isListed && entry.second.running.empty();
     });
     resolveOwners();
+    for (auto &[id, state] : m_targets)
+        state.estimate.forget(m_meanServiceTime, now);
     updateMeanServiceTime();
 }
 
--- a/src/dispatch/internal/targetestimate.cpp
+++ b/src/dispatch/internal/targetestimate.cpp
@@ -21,6 +21,11 @@
 constexpr double MAX_SAMPLE_RATIO = 4.0;
 /// Answers that the steady mean counts for after the target's speed has changed.
 constexpr std::uint32_t SAMPLES_AFTER_CHANGE = 3;
+/// How long an estimate holds without further answers.
+constexpr milliseconds SAMPLE_LIFETIME{3000};
+/// Afterwards half of its difference from the mean is forgotten in this time.
+constexpr double FORGET_HALF_LIFE_S = 4.0;
+constexpr milliseconds FORGET_INTERVAL{200};
 /// Weight of the newest rejection or answer in the rejection share.
 constexpr double REJECTION_WEIGHT = 0.2;
 /// Suspension after a rejection by a full target: about one service time, until a slot is free.
@@ -48,7 +53,7 @@
 {
     switch (report.result) {
     case run_result::Answered: {
-        addSample(std::max(report.duration - waitedAtTarget, microseconds(0)));
+        addSample(std::max(report.duration - waitedAtTarget, microseconds(0)), now);
         updateRejectionShare(0.0, now);
         m_failures = 0;
         m_suspendedUntil = instant{};
@@ -63,19 +68,33 @@
     case run_result::Lost:
         suspend(CONNECTION_LOSS_PAUSE, now);
         break;
-    case run_result::NotSent:
     case run_result::TimedOut:
+        addUnfinished(report.duration - waitedAtTarget, now);
+        suspend(UNREACHABLE_PAUSE, now);
+        break;
+    case run_result::NotSent:
         suspend(UNREACHABLE_PAUSE, now);
         break;
-    case run_result::WrongOwner:
     case run_result::Abandoned:
+        addUnfinished(report.duration - waitedAtTarget, now);
+        break;
+    case run_result::WrongOwner:
     case run_result::NotUsed:
         break;
     }
 }
 
-void target_estimate::addSample(microseconds work)
+/// Requests that were given up before their answer would otherwise leave the longest service times
+/// out. One that was given up sooner than usual shows nothing.
+void target_estimate::addUnfinished(microseconds work, instant now)
 {
+    if (work > serviceTime())
+        addSample(work + serviceTime(), now);
+}
+
+void target_estimate::addSample(microseconds work, instant now)
+{
+    m_sampledAt = now;
     ++m_samples;
     const double sample =
             std::min(static_cast<double>(work.count()), MAX_SAMPLE_RATIO * m_recentTime);
@@ -90,6 +109,19 @@
     }
 }
 
+void target_estimate::forget(microseconds mean, instant now)
+{
+    const auto age = now - m_sampledAt;
+    if (m_samples == 0 || age < SAMPLE_LIFETIME)
+        return;
+    const double step = std::chrono::duration<double>(FORGET_INTERVAL).count();
+    const double share = 1.0 - std::exp2(-step / FORGET_HALF_LIFE_S);
+    m_steadyTime += share * (static_cast<double>(mean.count()) - m_steadyTime);
+    m_recentTime = m_steadyTime;
+    m_samples = std::min(m_samples, SAMPLES_AFTER_CHANGE);
+    m_sampledAt = now - SAMPLE_LIFETIME + FORGET_INTERVAL;
+}
+
 double target_estimate::rejectionShare(instant now) const
 {
     const double age = std::chrono::duration<double>(now - m_rejectionShareAt).count();
--- a/tests/loadmodel/loadmodel.cpp
+++ b/tests/loadmodel/loadmodel.cpp
@@ -154,13 +154,30 @@
         const double spread = m_pattern.workSpread;
         const double factor =
                 std::lognormal_distribution<double>(-spread * spread / 2, spread)(m_random);
-        const auto time = static_cast<double>(m_pattern.work.count()) * 1000.0 * factor;
-        at(m_now + microseconds(static_cast<std::int64_t>(time / target.speed)),
-           [this, id, token] { finishRun(id, token); });
+        const auto time = static_cast<double>(m_pattern.work.count()) * 1000.0 * factor
+                * slownessOf(id) / target.speed;
+        const auto end = m_now + microseconds(static_cast<std::int64_t>(time));
+        const auto deadline = m_callers[m_placed.at(token).caller].sent + m_pattern.deadline;
+        const auto result = end > deadline ? run_result::TimedOut : run_result::Answered;
+        at(std::max(m_now, std::min(end, deadline)),
+           [this, id, token, result] { finishRun(id, token, result); });
     }
 }
 
-void load_model::finishRun(const target_id &id, request_token token)
+/// @return the factor by which a target is slower than usual at present.
+double load_model::slownessOf(const target_id &id) const
+{
+    const auto position =
+            static_cast<std::size_t>(std::distance(m_targets.begin(), m_targets.find(id)));
+    for (const auto &spell : m_pattern.slowSpells) {
+        const auto time = m_now - m_start;
+        if (time >= spell.begin && time < spell.end && position < spell.targets)
+            return spell.factor;
+    }
+    return 1.0;
+}
+
+void load_model::finishRun(const target_id &id, request_token token, run_result result)
 {
     auto &target = m_targets.at(id);
     --target.running;
@@ -168,25 +185,24 @@
     const target_load load{target.running + 1, static_cast<std::uint32_t>(target.queue.size()),
                            SLOTS};
     startRuns(target, id);
-    at(m_now + NETWORK_DELAY, [this, token, load] {
+    at(m_now + NETWORK_DELAY, [this, token, load, result] {
         const auto placed = m_placed.at(token);
         m_placed.erase(token);
-        conclude(placed);
+        conclude(placed, result);
         dispatch_decisions decisions;
-        m_dispatcher->complete({token, run_result::Answered, m_now - placed.sentAt, load}, m_now,
-                               decisions);
+        m_dispatcher->complete({token, result, m_now - placed.sentAt, load}, m_now, decisions);
         decide(decisions);
     });
 }
 
-void load_model::conclude(const placed_request &placed)
+void load_model::conclude(const placed_request &placed, run_result result)
 {
     auto &caller = m_callers[placed.caller];
     const auto time = m_now - caller.sent;
     using state = caller_request::state;
-    caller.end = time <= m_pattern.objective ? state::OnTime
-            : time <= m_pattern.deadline     ? state::Late
-                                             : state::Unserved;
+    caller.end = result != run_result::Answered ? state::Unserved
+            : time <= m_pattern.objective       ? state::OnTime
+                                                : state::Late;
 }
 
 void load_model::advance()
--- a/tests/loadmodel/loadmodel.h
+++ b/tests/loadmodel/loadmodel.h
@@ -27,6 +27,14 @@
     double share = 0.0;
 };
 
+/// A period in which some targets are slower.
+struct slow_spell {
+    std::chrono::milliseconds begin{0};
+    std::chrono::milliseconds end{0};
+    std::size_t targets = 0; ///< The first ones in the order of their names.
+    double factor = 1.0;     ///< Multiplies their service times.
+};
+
 /// Load pattern of a keyed service.
 struct load_pattern {
     std::vector<model_target> targets;
@@ -39,6 +47,7 @@
     double clusteredShare = 0.0;
     key_range cluster{38000, 42000};
     std::vector<hot_spell> spells;
+    std::vector<slow_spell> slowSpells;
     std::chrono::milliseconds objective{400};
     std::chrono::milliseconds deadline{1000};
     /// Whether a rejected caller returns once after the proposed delay.
@@ -130,8 +139,9 @@
     void send(std::size_t caller);
     void decide(const dispatch_decisions &decisions);
     void startRuns(target_state &target, const target_id &id);
-    void finishRun(const target_id &id, request_token token);
-    void conclude(const placed_request &placed);
+    double slownessOf(const target_id &id) const;
+    void finishRun(const target_id &id, request_token token, run_result result);
+    void conclude(const placed_request &placed, run_result result);
     void advance();
     void advanceKeys();
     void release(const release_order &order);
--- a/tests/loadmodel/loadmodeltest.cpp
+++ b/tests/loadmodel/loadmodeltest.cpp
@@ -85,6 +85,16 @@
     BOOST_CHECK_LT(outcome.unservedShare(), 0.02);
 }
 
+// Requests at the slow targets reach their deadline before they are answered.
+BOOST_AUTO_TEST_CASE(keys_leave_targets_that_turn_slow)
+{
+    auto pattern = clusteredPattern();
+    pattern.requestsPerSecond = rateFor(pattern, 0.35);
+    pattern.slowSpells = {{milliseconds(6000), milliseconds(14000), 9, 12.0}};
+    const auto outcome = play(pattern, {milliseconds(8000), milliseconds(14000)});
+    BOOST_CHECK_LT(outcome.unservedShare(), 0.03);
+}
+
 BOOST_AUTO_TEST_CASE(hot_key_gets_the_fastest_target)
 {
     const auto pattern = hotKeyPattern(unequalTargets(24));
