Requests placed without a coordinator wait for the owner of their key

Requests that waited locally kept their place there after they were sent to a coordinator. Change: local placement always knows the owners as far as they are read; a refusal by the recorded owner suspends it; requests are withdrawn before they are sent to a coordinator.

--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint32_t MAX_REPORT_SENDS = 5;
 /// Local placement sends each target one request at a time, as other instances do the same.
 constexpr std::uint32_t LOCAL_SLOTS = 1;
-constexpr std::size_t MAX_LOCAL_WAITING = 16;
+constexpr std::size_t MAX_LOCAL_WAITING = 64;
 constexpr double LOCAL_RETRY_CAPACITY = 1.0;
 constexpr double LOCAL_RETRY_SHARE = 0.05;
 /// While a coordinator is silent, this many other instances are queried for its successor, at this
@@ -184,15 +184,13 @@
     auto &item = m_local[service];
     if (item.dispatcher)
         return item;
-    const auto *record = m_coordination->record(service);
-    item.isKeyed = record && !record->ranges.empty();
     dispatch_settings settings;
     settings.lookahead = 0;
     settings.maxWaiting = MAX_LOCAL_WAITING;
     settings.retryShare = LOCAL_RETRY_SHARE;
     settings.retryCapacity = LOCAL_RETRY_CAPACITY;
-    item.dispatcher =
-            std::make_unique<service_dispatcher>(settings, item.isKeyed ? &item.owners : nullptr);
+    // Requests with a key wait for its owner, also while the owners are not known yet.
+    item.dispatcher = std::make_unique<service_dispatcher>(settings, &item.owners);
     item.timer = std::make_unique<boost::asio::steady_timer>(m_context);
     updateLocal(service, item);
     return item;
@@ -203,7 +201,7 @@
     const auto now = boot_clock::now();
     std::vector<dispatch_target> targets;
     for (const auto &[id, listed] : m_targets.targets()) {
-        if (listed.entry.service != service || (listed.isLeaving() && !item.isKeyed))
+        if (listed.entry.service != service)
             continue;
         targets.push_back(listed.toDispatchTarget());
         targets.back().slots = LOCAL_SLOTS;
@@ -332,11 +330,26 @@
             waiting.push_back(item);
     }
     for (const auto &item : waiting) {
+        withdrawLocal(service, item->request.token);
         item->unanswered = 0;
         requestPlacement(item);
     }
 }
 
+/// Removes a request that waits for a local placement, as it is sent to a coordinator.
+void placement_client::withdrawLocal(const service_name &service, request_token token)
+{
+    const auto placed = m_placed.find(token);
+    if (placed == m_placed.end() || placed->second.decidedBy != decider::Local)
+        return;
+    m_placed.erase(placed);
+    dispatch_decisions decisions;
+    local(service).dispatcher->complete({token, run_result::NotUsed, microseconds(0), std::nullopt},
+                                        boot_clock::now(), decisions);
+    for (const auto &decision : decisions)
+        finish(decision);
+}
+
 void placement_client::report(const service_name &service, const run_report &report)
 {
     const auto waiting = m_pending.find(report.token);
@@ -358,10 +371,10 @@
     if (placed.decidedBy == decider::Local) {
         dispatch_decisions decisions;
         auto localReport = report;
-        // The owners known here may be outdated while no coordinator answers, so the answer proves
-        // nothing about the owner.
+        // The owners known here may be outdated while no coordinator answers, and their holds may
+        // have ended: further requests wait a while rather than being refused as well.
         if (localReport.result == run_result::WrongOwner)
-            localReport.result = run_result::NotExecuted;
+            localReport.result = run_result::Lost;
         local(service).dispatcher->complete(localReport, boot_clock::now(), decisions);
         for (const auto &decision : decisions)
             finish(decision);
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -124,7 +124,6 @@
         key_map owners;
         std::unique_ptr<service_dispatcher> dispatcher;
         std::unique_ptr<boost::asio::steady_timer> timer;
-        bool isKeyed = false;
     };
 
     /// The report of an ended request that the coordinator has not confirmed yet.
@@ -155,6 +154,7 @@
     void reportMissing(const service_name &service);
     void queryPeers(const service_name &service);
     void resendRequests(const service_name &service);
+    void withdrawLocal(const service_name &service, request_token token);
     void notePeer(const std::string &address);
     void sendNotCoordinator(const udp_endpoint &peer, const service_name &service,
                             request_token token);
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -115,9 +115,10 @@
         ownCoordination.onOwnership({record}, 1, boot_clock::now());
     }
 
-    void place()
+    void place(std::optional<key_number> key = std::nullopt)
     {
         dispatch_request request;
+        request.key = key;
         request.arrival = boot_clock::now();
         request.objective = request.arrival + milliseconds(2000);
         request.deadline = request.arrival + milliseconds(4000);
@@ -146,6 +147,36 @@
 
 } // namespace
 
+// After a restart of all instances, requests arrive before the owners of keys were read. They were
+// sent to any target, and refused, for two seconds.
+BOOST_FIXTURE_TEST_CASE(keyed_request_without_a_coordinator_waits_for_known_owners, client_instance)
+{
+    for (const std::string id : {"a", "b"}) {
+        target_entry entry;
+        entry.id = id;
+        entry.service = SERVICE;
+        entry.address = {HOST, 1};
+        targets.update(entry, boot_clock::now());
+    }
+    ownership_record unkeyed;
+    unkeyed.service = SERVICE;
+    unkeyed.term = 2;
+    ownCoordination.onOwnership({unkeyed}, 2, boot_clock::now());
+    place(7);
+    context.run_for(milliseconds(300));
+    BOOST_CHECK(decisions.empty());
+    auto known = unkeyed;
+    known.nextFence = 2;
+    known.ranges = {{{0, LAST_KEY}, "b", 1, 1, 2}};
+    ownCoordination.onOwnership({known}, 3, boot_clock::now());
+    client.updateTargets();
+    place(7);
+    context.run_for(milliseconds(300));
+    BOOST_REQUIRE_GE(decisions.size(), 1U);
+    for (const auto &decision : decisions)
+        BOOST_CHECK_EQUAL(decision.target, "b");
+}
+
 // A coordinator is lost while the store refuses some instances. Without the
 // not_coordinator_messages of others, these would keep sending requests to the lost coordinator and
 // place requests locally, as four of ten instances did for ten seconds.
