--- a/src/dispatch/internal/targetestimate.cpp
+++ b/src/dispatch/internal/targetestimate.cpp
@@ -58,7 +58,7 @@
                                    bool isFull, instant now)
 {
     switch (report.result) {
-    case run_result::Answered: {
+    case run_result::Answered:
         addSample(std::max(report.duration - waitedAtTarget, microseconds(0)), now);
         m_rejections.add(0.0, now);
         m_errors.add(0.0, now);
@@ -73,7 +73,6 @@
         m_failures = 0;
         m_suspendedUntil = instant{};
         break;
-    }
     case run_result::NotExecuted:
         if (isFull)
             suspend(REJECTION_PAUSE, now);
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -1,27 +1,19 @@
 #include "clementinebeam/keyspace/rangeplanner.h"
 
-#include <algorithm>
-#include <cmath>
-#include <map>
-#include <optional>
+#include "internal/movecandidates.h"
+
 #include <set>
 
 namespace clementinebeam {
 
 namespace {
 
-/// Load added to each key, so that ranges without requests are spread evenly.
-constexpr double BASE_LOAD = 1.0 / KEY_COUNT;
 /// Excess over the balanced load from which a target gives keys away, as a share of its capacity.
 constexpr double MIN_EXCESS = 0.12;
 /// A target that gives keys away goes on until its excess is below this share of its capacity.
 constexpr double REMAINING_EXCESS = 0.05;
 /// Utilisation up to which an imbalance is tolerated.
 constexpr double TOLERATED_UTILISATION = 0.35;
-/// The recent load counts as a spike if it exceeds the steady load by this factor and this many
-/// requests a second.
-constexpr double HOT_RATIO = 1.3;
-constexpr double HOT_EXCESS = 5.0;
 /// Largest number of keys in a narrow range.
 constexpr std::size_t MAX_NARROW_WIDTH = 256;
 /// Smallest excess over the balanced load, in standard deviations of the measured rate.
@@ -34,78 +26,10 @@
 /// A move has to raise the lower spare capacity of the two targets by this much, in spare units.
 constexpr double MIN_GAIN = 0.1;
 
-/// Share of a target's capacity from which a single key saturates it.
-constexpr double SATURATION_SHARE = 0.8;
 /// A saturating key is moved only to a target that is faster by this factor, as estimates of the
 /// capacity vary.
 constexpr double MIN_SPEEDUP = 1.5;
 
-/// Smallest load to move away from the target of a saturating key, as a share of its capacity.
-constexpr double MIN_MOVED_SHARE = 0.05;
-
-/// A part with this share of the load of the best one is chosen if it has fewer keys.
-constexpr double SUFFICIENT_SHARE = 0.7;
-/// Ratio of all keys to busy ones from which only the busy ones move.
-constexpr std::size_t MIN_IDLE_RATIO = 4;
-
-/// Load of one target while moves are planned.
-struct holder_load {
-    const key_holder *holder = nullptr;
-    double recent = 0.0;
-    double steady = 0.0;
-    std::size_t keys = 0;
-
-    bool isHot() const { return recent > steady * HOT_RATIO + HOT_EXCESS; }
-    double load() const { return isHot() ? recent : steady; }
-    double capacity() const { return std::max(0.001, holder->capacity); }
-    double utilisation() const { return load() / capacity(); }
-    /// Unit in which the spare capacity of different targets is compared. Spare capacity in
-    /// proportion to the square root of the capacity gives the shortest mean wait over all targets:
-    /// fast ones are used more than slow ones.
-    double spareUnit() const { return std::sqrt(capacity()); }
-    /// Unused capacity, in units of spareUnit().
-    double spare() const { return (capacity() - load()) / spareUnit(); }
-    /// Load beyond that at which the target has the given spare capacity; negative if it has more.
-    double excessOver(double balancedSpare) const
-    {
-        return load() - std::max(0.0, capacity() - balancedSpare * spareUnit());
-    }
-};
-
-using load_table = std::map<target_id, holder_load>;
-
-double keyLoad(const key_load &load, key_number key, bool useRecentRate)
-{
-    return BASE_LOAD + (useRecentRate ? load.recent(key) : load.steady(key));
-}
-
-void addLoads(load_table &table, const std::vector<range_assignment> &ranges, const key_load &load)
-{
-    for (const auto &range : ranges) {
-        const auto found = table.find(range.target);
-        if (found == table.end())
-            continue;
-        auto &item = found->second;
-        item.keys += range.keys.size();
-        for (key_number key = range.keys.first; key <= range.keys.last; ++key) {
-            item.recent += keyLoad(load, key, true);
-            item.steady += keyLoad(load, key, false);
-        }
-    }
-}
-
-load_table loadTableOf(const std::vector<key_holder> &holders,
-                       const std::vector<range_assignment> &ranges, const key_load &load)
-{
-    load_table table;
-    for (const auto &holder : holders) {
-        if (!holder.isLeaving)
-            table[holder.id].holder = &holder;
-    }
-    addLoads(table, ranges, load);
-    return table;
-}
-
 holder_load *leastLoaded(load_table &table)
 {
     holder_load *best = nullptr;
@@ -144,103 +68,6 @@
     return units > 0.0 ? spare / units : 0.0;
 }
 
-struct window {
-    key_range keys;
-    double recent = 0.0;
-    double steady = 0.0;
-};
-
-window measureWindow(const key_range &keys, const key_load &load)
-{
-    window result{keys, 0.0, 0.0};
-    for (key_number key = keys.first; key <= keys.last; ++key) {
-        result.recent += keyLoad(load, key, true);
-        result.steady += keyLoad(load, key, false);
-    }
-    return result;
-}
-
-/// @return the longest part of a range, from its first or from its last key on, that carries at
-/// most
-///     the given load; none if its outermost key carries more.
-std::optional<key_range> cutFromEdge(const key_range &range, const key_load &load,
-                                     bool useRecentRate, double amount, bool isFirstEdge)
-{
-    double sum = 0.0;
-    std::size_t count = 0;
-    for (; count < range.size(); ++count) {
-        const auto offset = static_cast<key_number>(count);
-        const auto key = isFirstEdge ? range.first + offset : range.last - offset;
-        sum += keyLoad(load, key, useRecentRate);
-        if (sum > amount)
-            break;
-    }
-    if (count == 0)
-        return std::nullopt;
-    const auto width = static_cast<key_number>(count - 1);
-    return isFirstEdge ? key_range{range.first, range.first + width}
-                       : key_range{range.last - width, range.last};
-}
-
-/// Leaves out the outer keys of a part to be moved that have no requests, if these are most of it.
-/// During a load spike on a few neighbouring keys, only these move.
-key_range withoutIdleEdges(const key_range &keys, const key_load &load)
-{
-    auto busy = keys;
-    while (busy.size() > 1 && load.recent(busy.first) <= 0.0)
-        ++busy.first;
-    while (busy.size() > 1 && load.recent(busy.last) <= 0.0)
-        --busy.last;
-    return busy.size() * MIN_IDLE_RATIO <= keys.size() ? busy : keys;
-}
-
-/// Picks keys to move from the edges of a target's ranges: of the parts with most load up to the
-/// given one, that with the fewest keys. Cutting at edges keeps the number of
-/// ranges low, and unlike the busiest keys of a short observation their load is not overestimated.
-/// @param movesIdleKeys whether idle keys next to the busy ones move as well.
-std::optional<window> keysToMove(const holder_load &source, double amount, bool movesIdleKeys,
-                                 const std::vector<range_assignment> &ranges, const key_load &load)
-{
-    std::vector<window> cuts;
-    const bool useRecentRate = source.isHot();
-    const auto loadOf = [&](const window &item) {
-        return useRecentRate ? item.recent : item.steady;
-    };
-    double mostLoad = 0.0;
-    for (const auto &range : ranges) {
-        if (range.target != source.holder->id)
-            continue;
-        for (const bool isFirstEdge : {true, false}) {
-            const auto keys = cutFromEdge(range.keys, load, useRecentRate, amount, isFirstEdge);
-            if (!keys)
-                continue;
-            const auto item =
-                    measureWindow(movesIdleKeys ? *keys : withoutIdleEdges(*keys, load), load);
-            cuts.push_back(item);
-            mostLoad = std::max(mostLoad, loadOf(item));
-        }
-    }
-    if (mostLoad < MIN_MOVED_SHARE * source.holder->capacity)
-        return std::nullopt;
-    const window *best = nullptr;
-    for (const auto &cut : cuts) {
-        if (loadOf(cut) >= SUFFICIENT_SHARE * mostLoad
-            && (!best || cut.keys.size() < best->keys.size()))
-            best = &cut;
-    }
-    return *best;
-}
-
-void transferLoad(holder_load &from, holder_load &to, const window &item)
-{
-    from.recent -= item.recent;
-    from.steady -= item.steady;
-    from.keys -= item.keys.size();
-    to.recent += item.recent;
-    to.steady += item.steady;
-    to.keys += item.keys.size();
-}
-
 /// Replaces the target of some keys in a list of assignments, splitting ranges as needed.
 void reassign(std::vector<range_assignment> &ranges, const key_range &keys, const target_id &target)
 {
@@ -282,38 +109,6 @@
             && source.utilisation() > TOLERATED_UTILISATION;
 }
 
-/// @return the key of a target with the highest load, if it owns any.
-std::optional<key_number> heaviestKey(const holder_load &item,
-                                      const std::vector<range_assignment> &ranges,
-                                      const key_load &load)
-{
-    std::optional<key_number> heaviest;
-    double maxRate = 0.0;
-    for (const auto &range : ranges) {
-        if (range.target != item.holder->id)
-            continue;
-        for (key_number key = range.keys.first; key <= range.keys.last; ++key) {
-            const double rate = keyLoad(load, key, item.isHot());
-            if (rate > maxRate) {
-                heaviest = key;
-                maxRate = rate;
-            }
-        }
-    }
-    return heaviest;
-}
-
-/// @return the key of a target that takes most of its capacity by itself, if there is one.
-std::optional<key_number> saturatingKey(const holder_load &item,
-                                        const std::vector<range_assignment> &ranges,
-                                        const key_load &load)
-{
-    const auto key = heaviestKey(item, ranges, load);
-    const bool saturates =
-            key && keyLoad(load, *key, item.isHot()) >= SATURATION_SHARE * item.holder->capacity;
-    return saturates ? key : std::nullopt;
-}
-
 /// @return the target that can run most requests of a key that saturates its present one: it is
 ///     faster by MIN_SPEEDUP and has no such key itself; null if there is none.
 holder_load *fasterTarget(load_table &table, const holder_load &source,
