--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -33,6 +33,9 @@
     /// Time within which a coordinator whose grant was superseded is usually confirmed, if it is
     /// the newest.
     std::chrono::milliseconds confirmationTimeout{250};
+    /// Longest time that a store call may take without holding up the planning of moves: a range
+    /// that was released has no owner until its move is stored.
+    std::chrono::milliseconds maxStoreTime{100};
     /// How long a target that could not be reached gets no keys.
     std::chrono::milliseconds unreachableCooldown{3000};
 };
@@ -197,6 +200,7 @@
     bool unifyFences();
     static fence_number fenceToRelease(const owned_range &range);
     bool isMoving() const;
+    bool isStoreResponsive(instant now) const;
     bool isFragmented() const;
     bool isAvailable(const key_holder &target, instant now) const;
     void assign(owned_range &range, const key_holder &target);
@@ -224,6 +228,7 @@
     instant m_nextPlan{};
     bool m_isStoreReachable = true;
     bool m_isStoring = false;
+    instant m_storingSince{}; ///< When the store call that has not ended was requested.
     bool m_isDirty = false;
     std::uint64_t m_revision = 1;
     std::uint64_t m_moveCount = 0;
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -208,6 +208,7 @@
     if (m_isDirty && !m_isStoring && m_isStoreReachable) {
         m_isDirty = false;
         m_isStoring = true;
+        m_storingSince = now;
         actions.wantsStore = true;
     }
     return actions;
@@ -317,7 +318,7 @@
 
 void key_coordinator::plan(instant now)
 {
-    if (!m_isStoreReachable)
+    if (!isStoreResponsive(now))
         return;
     const auto settled = settledAssignments();
     auto moves = m_planner.rebalance(availableHolders(now), settled, movingAssignments(), m_load);
@@ -329,6 +330,13 @@
         markReleasing(move);
 }
 
+/// An outage shows in a store call without an answer before reads have failed.
+bool key_coordinator::isStoreResponsive(instant now) const
+{
+    const bool isWaiting = m_isStoring && now > m_storingSince + m_settings.maxStoreTime;
+    return m_isStoreReachable && !isWaiting;
+}
+
 bool key_coordinator::isMoving() const
 {
     return std::any_of(m_ranges.begin(), m_ranges.end(),
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -46,7 +46,7 @@
 
     void execute(const coordinator_actions &actions)
     {
-        if (actions.wantsStore)
+        if (actions.wantsStore && isStoreAnswering)
             m_coordinator.onStored(m_coordinator.record().nextFence);
         for (const auto &order : actions.releases) {
             releases.push_back(order);
@@ -63,6 +63,7 @@
     std::vector<grant_order> grants;
     std::vector<release_order> releases;
     std::set<target_id> unreachable;
+    bool isStoreAnswering = true;
 
 private:
     instant m_now;
@@ -482,6 +483,33 @@
     BOOST_CHECK_GE(owners.size(), 3U);
 }
 
+// Ranges that are released during an outage of the store have no owner until it ends.
+BOOST_AUTO_TEST_CASE(no_range_is_released_while_the_store_does_not_answer)
+{
+    simulated_system system;
+    std::vector<key_holder> holders;
+    for (int index = 0; index < 6; ++index)
+        holders.push_back(makeHolder("t" + std::to_string(index)));
+    system.setHolders(holders);
+    system.run(seconds(1));
+    system.isStoreAnswering = false;
+    for (int step = 0; step < 40; ++step) {
+        for (int request = 0; request < 3; ++request)
+            system.coordinator().noteRequest(
+                    static_cast<key_number>(1000 + (step * 7 + request * 13) % 40));
+        system.run(milliseconds(50));
+    }
+    const auto firstReleases = system.releases.size();
+    BOOST_CHECK_GE(firstReleases, 1U);
+    for (int step = 0; step < 40; ++step) {
+        for (int request = 0; request < 4; ++request)
+            system.coordinator().noteRequest(
+                    static_cast<key_number>(50000 + (step * 7 + request * 13) % 40));
+        system.run(milliseconds(50));
+    }
+    BOOST_CHECK_EQUAL(system.releases.size(), firstReleases);
+}
+
 BOOST_AUTO_TEST_CASE(even_load_moves_nothing)
 {
     simulated_system system;
