Send a request to a coordinator only if it has no decision yet; mend comments

The withdrawal of a waiting request may free a place for another one, whose local placement then came before it was sent: its end would have been reported to the wrong dispatcher.

--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -72,9 +72,8 @@
     ///     their targets.
     std::size_t runningCount() const { return m_running.size(); }
 
-    /// @return the requests a second that a target can answer; 0 if it is unknown. Not reduced
-    /// while
-    ///     the target is cold.
+    /// @return the requests a second that a target can answer, also while it is cold; 0 if it is
+    ///     unknown.
     double throughputOf(const target_id &target, instant now) const;
 
 private:
--- a/include/clementinebeam/dispatch/targetestimate.h
+++ b/include/clementinebeam/dispatch/targetestimate.h
@@ -35,13 +35,11 @@
         return std::chrono::microseconds(static_cast<std::int64_t>(m_steadyTime));
     }
 
-    /// @return the share of requests that the target has recently answered, of those that it
-    /// rejected
-    ///     although it had free slots, answered with an error or answered; from 0.05 to 1.
+    /// @return the share of recent requests that the target answered without an error, apart from
+    ///     single errors; rejections count only if it had free slots. From 0.05 to 1.
     double successShare(instant now) const;
 
-    /// @return the share of requests that it has recently answered without an error, apart from
-    ///     single errors; from 0.05 to 1.
+    /// @return the same, without regard to rejections.
     double answerShare(instant now) const;
 
     /// @return whether the target should get no requests at present.
--- a/src/dispatch/internal/targetestimate.cpp
+++ b/src/dispatch/internal/targetestimate.cpp
@@ -36,8 +36,8 @@
 /// Upper limit of a suspension; a restarted target gets requests again within this time.
 constexpr milliseconds MAX_PAUSE{1600};
 constexpr std::uint32_t MAX_DOUBLINGS = 4;
-/// Half-lives of the shares of rejections and of errors. A target that errs has lost its keys by
-/// the time at which it gets them back, so errors count for longer.
+/// Half-lives of the shares of rejections and of errors. Errors count for longer, as a target that
+/// has lost its keys for them shows none.
 constexpr milliseconds REJECTION_HALF_LIFE{1000};
 constexpr milliseconds ERROR_HALF_LIFE{5000};
 /// Share of errors that a single error makes up; every target errs at times.
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -331,6 +331,9 @@
     }
     for (const auto &item : waiting) {
         withdrawLocal(service, item->request.token);
+        // The withdrawal of another request may have led to a local placement of this one.
+        if (!m_pending.contains(item->request.token))
+            continue;
         item->unanswered = 0;
         requestPlacement(item);
     }
