Bound the work of a round of planning

Change: a round tries 48 moves; ranges are split in place; faster targets are looked through from the fastest on.

--- a/include/clementinebeam/keyspace/rangeplanner.h
+++ b/include/clementinebeam/keyspace/rangeplanner.h
@@ -14,8 +14,9 @@
 class range_planner
 {
 public:
-    /// A round of planning is limited to this many moves, or one per target if that is more.
-    static constexpr std::size_t MIN_MOVES = 8;
+    /// Moves that a round of planning tries. In a large fleet, trying all targets would hold up the
+    /// placement of requests.
+    static constexpr std::size_t MAX_ATTEMPTS = 48;
 
     /// Plans moves that balance the load.
     /// @param holders targets that may own keys.
--- a/src/keyspace/internal/rangeplanner.cpp
+++ b/src/keyspace/internal/rangeplanner.cpp
@@ -68,30 +68,25 @@
     return units > 0.0 ? spare / units : 0.0;
 }
 
-/// Replaces the target of some keys in a list of assignments, splitting ranges as needed.
+/// Replaces the target of some keys, which lie in one range, and splits that range as needed.
 void reassign(std::vector<range_assignment> &ranges, const key_range &keys, const target_id &target)
 {
-    std::vector<range_assignment> result;
-    for (const auto &range : ranges) {
-        if (!range.keys.overlaps(keys)) {
-            result.push_back(range);
-            continue;
-        }
-        if (range.keys.first < keys.first) {
-            result.push_back(range);
-            result.back().keys.last = keys.first - 1;
-        }
-        if (range.keys.contains(keys.first)) {
-            result.push_back(range);
-            result.back().keys = keys;
-            result.back().target = target;
-        }
-        if (range.keys.last > keys.last) {
-            result.push_back(range);
-            result.back().keys.first = keys.last + 1;
-        }
-    }
-    ranges = std::move(result);
+    const auto found = std::find_if(ranges.begin(), ranges.end(), [&](const auto &range) {
+        return range.keys.contains(keys.first);
+    });
+    if (found == ranges.end())
+        return;
+    auto left = *found;
+    auto right = *found;
+    left.keys.last = keys.first - 1;
+    right.keys.first = keys.last + 1;
+    const bool hasLeft = found->keys.first < keys.first;
+    const bool hasRight = found->keys.last > keys.last;
+    found->keys = keys;
+    found->target = target;
+    const auto next = hasLeft ? ranges.insert(found, std::move(left)) + 2 : found + 1;
+    if (hasRight)
+        ranges.insert(next, std::move(right));
 }
 
 /// @return the standard deviation of a target's measured rate if requests arrive independently.
@@ -114,15 +109,18 @@
 holder_load *fasterTarget(load_table &table, const holder_load &source,
                           const std::vector<range_assignment> &ranges, const key_load &load)
 {
-    holder_load *best = nullptr;
-    double leastCapacity = source.holder->capacity * MIN_SPEEDUP;
+    std::vector<holder_load *> faster;
     for (auto &[id, item] : table) {
-        if (item.holder->capacity < leastCapacity || saturatingKey(item, ranges, load))
-            continue;
-        best = &item;
-        leastCapacity = item.holder->capacity;
+        if (item.holder->capacity >= source.holder->capacity * MIN_SPEEDUP)
+            faster.push_back(&item);
     }
-    return best;
+    std::sort(faster.begin(), faster.end(), [](const auto *left, const auto *right) {
+        return left->holder->capacity > right->holder->capacity;
+    });
+    const auto best = std::find_if(faster.begin(), faster.end(), [&](const auto *item) {
+        return !saturatingKey(*item, ranges, load);
+    });
+    return best == faster.end() ? nullptr : *best;
 }
 
 /// Picks keys to move away from the target of a saturating key, as many as the other target has
@@ -198,7 +196,7 @@
     std::vector<range_move> moves;
     std::set<target_id> skipped;
     std::set<target_id> unloading;
-    while (moves.size() < std::max(MIN_MOVES, holders.size())) {
+    for (std::size_t attempt = 0; attempt < MAX_ATTEMPTS; ++attempt) {
         auto *source = mostLoaded(table, skipped);
         if (!source)
             break;
