Review case 1: after a cut, two workers hold the same keys

Cause: a grant that is given up is closed without a reset, so that its bytes arrive after the cut and start a new hold with the old token, although the keys have gone to another worker. Seen: OWNER broken by node_cut (servers) alone: both workers hold the keys for up to 3.8 s and run requests on them.

--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -201,8 +201,8 @@
     };
     /// May change the text of an answer before it is written; empty text: no answer.
     using answer_filter = std::function<std::string(const message &call, std::string answer)>;
-    /// Called before a grant is applied; @return whether the worker goes on as usual.
-    using grant_filter = std::function<bool(const grant_call &, stream &)>;
+    /// Called after a grant was applied.
+    using grant_handler = std::function<void(const grant_call &)>;
 
     worker(run_record &record, store &store, std::string id, std::string service, bool isKeyed,
            milliseconds work)
@@ -217,7 +217,9 @@
     ~worker() { stop(); }
 
     const std::string &id() const { return m_id; }
-    int answers() const { return m_answers; }
+    int port() const { return m_port; }
+    /// The port that the worker's entry names, if it isn't its own. To be called before start().
+    void setListedPort(int port) { m_listedPort = port; }
 
     /// Begins a life: nothing is held, and no fencing token is known.
     bool start()
@@ -287,7 +289,7 @@
     {
         m_onRun = std::move(handler);
     }
-    void setGrantFilter(grant_filter filter) { m_grantFilter = std::move(filter); }
+    void setGrantHandler(grant_handler handler) { m_onGrant = std::move(handler); }
 
     bool holds(int key)
     {
@@ -330,7 +332,7 @@
         const std::lock_guard lock(m_mutex);
         if (!m_isListed)
             return;
-        const json entry{{"address", gateway::address(m_port)},
+        const json entry{{"address", gateway::address(m_listedPort)},
                          {"born", m_born},
                          {"info",
                           {{"backend", m_service},
@@ -352,7 +354,6 @@
 
     bool send(const message &call, stream &peer, std::string answer)
     {
-        ++m_answers;
         if (m_answerFilter)
             answer = m_answerFilter(call, std::move(answer));
         return answer.empty() ? false : peer.write(answer);
@@ -382,9 +383,9 @@
         const auto text = body.at("hold_time").get<std::string>();
         grant_call grant{body.at("from"), body.at("target"), body.at("fence"), clock::now(),
                          milliseconds(std::stol(text))};
-        if (m_grantFilter && !m_grantFilter(grant, peer))
-            return true;
         const int status = applyGrant(grant);
+        if (status == 200 && m_onGrant)
+            m_onGrant(grant);
         m_record.line(m_id + " grant " + std::to_string(grant.from) + '-'
                       + std::to_string(grant.to) + " fence " + std::to_string(grant.fence) + " for "
                       + text + " -> " + std::to_string(status));
@@ -472,6 +473,7 @@
     bool m_isKeyed;
     milliseconds m_work;
     int m_port;
+    int m_listedPort = m_port;
     http_server m_server;
     std::thread m_heartbeat;
     std::mutex m_mutex;
@@ -479,7 +481,6 @@
     std::atomic<bool> m_isUp{false};
     bool m_isListed = false; ///< Guarded by m_mutex, as are the members below.
     std::atomic<const char *> m_phase{"ready"};
-    std::atomic<int> m_answers{0};
     std::int64_t m_born = 0;
     std::uint64_t m_sequence = 0;
     std::vector<clock::time_point> m_until;
@@ -489,7 +490,7 @@
     int m_waiting = 0;
     std::atomic<int> m_releases{0};
     answer_filter m_answerFilter;
-    grant_filter m_grantFilter;
+    grant_handler m_onGrant;
     std::function<void(const std::string &)> m_onRun;
 };
 
