--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -65,9 +65,8 @@
 
     std::vector<std::unique_ptr<worker>> workers;
     for (int number = 1; number <= 4; ++number)
-        workers.push_back(std::make_unique<worker>(record, platform,
-                                                   "i-cat" + std::to_string(number), "catalogue",
-                                                   true, WORK));
+        workers.push_back(std::make_unique<worker>(
+                record, platform, "i-cat" + std::to_string(number), "catalogue", true, WORK));
     for (int number = 1; number <= 3; ++number)
         workers.push_back(std::make_unique<worker>(
                 record, platform, "i-ord" + std::to_string(number), "orders", false, WORK));
@@ -161,10 +160,9 @@
     }
     const auto share = [](int served, int sent) { return sent == 0 ? 1.0 : 1.0 * served / sent; };
     const double kindShare = share(catalogue.served, catalogue.sent);
-    const double allShare =
-            share(catalogue.served + order.served, catalogue.sent + order.sent);
-    record.line("answers of " + leaving.id() + " in the 5.5 s: "
-                + std::to_string(answersMeanwhile) + ", spoiled: " + std::to_string(spoiled));
+    const double allShare = share(catalogue.served + order.served, catalogue.sent + order.sent);
+    record.line("answers of " + leaving.id() + " in the 5.5 s: " + std::to_string(answersMeanwhile)
+                + ", spoiled: " + std::to_string(spoiled));
     record.line("gateways that ended: " + std::to_string(exits));
     for (const auto *item : {&catalogue, &order})
         record.line(item->name + ": sent " + std::to_string(item->sent) + ", served "
@@ -173,9 +171,8 @@
                     + std::to_string(item->servedAfter));
     const bool isBroken = kindShare < 0.25 * allShare;
     char text[200];
-    std::snprintf(text, sizeof text,
-                  "catalogue is served %.3f of the time, all requests %.3f: %s", kindShare,
-                  allShare, isBroken ? "Starved. broken" : "held");
+    std::snprintf(text, sizeof text, "catalogue is served %.3f of the time, all requests %.3f: %s",
+                  kindShare, allShare, isBroken ? "Starved. broken" : "held");
     record.line(text);
     std::puts(text);
     return isBroken ? BROKEN : 0;
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,14 @@
 #!/usr/bin/env bash
 # 1: the rule was broken, 0: it held, 2: the case couldn't run. TROUBLE=0: without the disruption.
-case=$(cd "$(dirname "$0")" && pwd)
-cd "$case/../.." || exit 2
-exec timeout -k 5 118 review/bin/case3 "$case"
+set -m
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+timeout --foreground -k 5 115 review/bin/case3 "$folder" &
+group=$!
+# The gateways are in the scenario's process group.
+trap 'kill -KILL -- -$group 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
+wait "$group"
+result=$?
+[ "$result" -le 1 ] || result=2
+exit "$result"
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -76,9 +76,9 @@
     }
     std::vector<std::unique_ptr<gateway>> gateways;
     for (int number = 0; number < GATEWAYS; ++number)
-        gateways.push_back(
-                std::make_unique<gateway>("front-p-" + std::to_string(number + 1), folder.path(),
-                                          "p", storePorts[static_cast<std::size_t>(number)]));
+        gateways.push_back(std::make_unique<gateway>("front-p-" + std::to_string(number + 1),
+                                                     folder.path(), "p",
+                                                     storePorts[static_cast<std::size_t>(number)]));
     if (!startAll(gateways))
         return CANNOT_RUN;
 
@@ -103,8 +103,10 @@
         if (!lateRuns.contains(id))
             return;
         ++lostOrders;
-        record.line("LOST ORDER: " + id + " was at work at a worker that ended after its drain time; "
-                    "the client got " + std::to_string(answer.status()));
+        record.line("LOST ORDER: " + id
+                    + " was at work at a worker that ended after its drain time; "
+                      "the client got "
+                    + std::to_string(answer.status()));
     });
 
     for (int round = 0; round < ROUNDS; ++round) {
@@ -118,7 +120,8 @@
         if (machine < 0)
             return CANNOT_RUN;
         if (hasTrouble()) {
-            record.line("the store turns away " + gateways[static_cast<std::size_t>(machine)]->name());
+            record.line("the store turns away "
+                        + gateways[static_cast<std::size_t>(machine)]->name());
             platform.setRefused(static_cast<std::size_t>(machine), true);
         }
         std::this_thread::sleep_until(start + REFUSED_AT + REFUSED_TIME - LEAVES_BEFORE);
@@ -130,8 +133,7 @@
             const std::lock_guard lock(mutex);
             const auto [by, sentAt] = sentBy[id];
             // A machine that was turned away in the stable window isn't in touch.
-            const bool isInTouch =
-                    now - lastRefused[static_cast<std::size_t>(by)] > STABLE_WINDOW;
+            const bool isInTouch = now - lastRefused[static_cast<std::size_t>(by)] > STABLE_WINDOW;
             if (now - leftAt <= DRAIN)
                 return;
             lateRuns.insert(id);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -6,9 +6,9 @@
 #include "store.h"
 
 #include <csignal>
-#include <fcntl.h>
 #include <cstdio>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -38,10 +38,7 @@
     { }
     ~run_record() { std::fclose(m_file); }
 
-    double now() const
-    {
-        return std::chrono::duration<double>(clock::now() - m_start).count();
-    }
+    double now() const { return std::chrono::duration<double>(clock::now() - m_start).count(); }
     void line(const std::string &text)
     {
         const std::lock_guard lock(m_mutex);
@@ -96,23 +93,22 @@
         , m_folder(std::move(folder))
         , m_port(freePorts(4))
     {
-        const json settings{
-                {"instance", m_name},
-                {"data_centre", std::move(zone)},
-                {"address", HOST},
-                {"caller_listener", address(m_port)},
-                {"readiness_listener", address(m_port + 1)},
-                {"first_internal_port", m_port + 2},
-                {"processor_share", 0.2},
-                {"memory_mb", 260},
-                {"store", address(storePort)},
-                {"store_parts", 8},
-                {"bounds",
-                 {{"retry_share", 0.2},
-                  {"retry_slack", 64},
-                  {"hold_max", "10000ms"},
-                  {"grace", "6s"},
-                  {"drain", "2000ms"}}}};
+        const json settings{{"instance", m_name},
+                            {"data_centre", std::move(zone)},
+                            {"address", HOST},
+                            {"caller_listener", address(m_port)},
+                            {"readiness_listener", address(m_port + 1)},
+                            {"first_internal_port", m_port + 2},
+                            {"processor_share", 0.2},
+                            {"memory_mb", 260},
+                            {"store", address(storePort)},
+                            {"store_parts", 8},
+                            {"bounds",
+                             {{"retry_share", 0.2},
+                              {"retry_slack", 64},
+                              {"hold_max", "10000ms"},
+                              {"grace", "6s"},
+                              {"drain", "2000ms"}}}};
         std::ofstream(settingsPath()) << settings.dump(1);
     }
     ~gateway() { kill(); }
@@ -135,8 +131,8 @@
         for (const int output : {STDOUT_FILENO, STDERR_FILENO})
             posix_spawn_file_actions_addopen(&files, output, logPath().c_str(),
                                              O_WRONLY | O_CREAT | O_APPEND, 0600);
-        const bool isStarted = posix_spawn(&m_process, program.c_str(), &files, nullptr, arguments,
-                                           environment)
+        const bool isStarted =
+                posix_spawn(&m_process, program.c_str(), &files, nullptr, arguments, environment)
                 == 0;
         posix_spawn_file_actions_destroy(&files);
         if (!isStarted)
@@ -386,9 +382,9 @@
         const int status = applyGrant(grant);
         if (status == 200 && m_onGrant)
             m_onGrant(grant);
-        m_record.line(m_id + " grant " + std::to_string(grant.from) + '-'
-                      + std::to_string(grant.to) + " fence " + std::to_string(grant.fence) + " for "
-                      + text + " -> " + std::to_string(status));
+        m_record.line(m_id + " grant " + std::to_string(grant.from) + '-' + std::to_string(grant.to)
+                      + " fence " + std::to_string(grant.fence) + " for " + text + " -> "
+                      + std::to_string(status));
         return send(call, peer, answerText(status, {}, {}));
     }
 
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -50,7 +50,7 @@
 }
 
 struct message {
-    std::string first; ///< Request line or status line.
+    std::string first;                          ///< Request line or status line.
     std::map<std::string, std::string> headers; ///< Names in lower case.
     std::string body;
 
@@ -111,8 +111,7 @@
     /// @return false at the end of the stream or at the deadline.
     bool fill(clock::time_point deadline)
     {
-        const auto left =
-                std::chrono::duration_cast<milliseconds>(deadline - clock::now()).count();
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline - clock::now()).count();
         pollfd item{m_handle, POLLIN, 0};
         if (left <= 0 || ::poll(&item, 1, static_cast<int>(std::min<long>(left, 1000000))) <= 0)
             return false;
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -25,8 +25,7 @@
                                ? static_cast<unsigned char>(bytes[index + offset])
                                : 0U);
         for (std::size_t digit = 0; digit < 4; ++digit)
-            text += index + digit > bytes.size() ? '='
-                                                 : DIGITS[group >> (18U - 6U * digit) & 63U];
+            text += index + digit > bytes.size() ? '=' : DIGITS[group >> (18U - 6U * digit) & 63U];
     }
     return text;
 }
@@ -41,11 +40,11 @@
     {
         auto &entry = m_entries.emplace_back(std::make_unique<machine_entry>());
         const auto machine = static_cast<int>(m_entries.size()) - 1;
-        return entry->server.start(port, [=, this, &entry = *entry](const message &call,
-                                                                    stream &peer) {
-            return entry.isRefused ? peer.write(answerText(503, {}, {}))
-                                   : handle(call, peer, machine);
-        });
+        return entry->server.start(port,
+                                   [=, this, &entry = *entry](const message &call, stream &peer) {
+                                       return entry.isRefused ? peer.write(answerText(503, {}, {}))
+                                                              : handle(call, peer, machine);
+                                   });
     }
     void stop()
     {
@@ -161,9 +160,8 @@
         const auto from = std::stoul(parameter(target, "from"));
         const auto wait = parameter(target, "wait-ms");
         if (!wait.empty())
-            m_changed.wait_for(lock, milliseconds(std::stoul(wait)), [&] {
-                return m_isStopped || m_topics[topic].size() > from;
-            });
+            m_changed.wait_for(lock, milliseconds(std::stoul(wait)),
+                               [&] { return m_isStopped || m_topics[topic].size() > from; });
         const auto &records = m_topics[topic];
         std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
         for (auto index = from; index < records.size(); ++index) {
