Take a handover only if it is text

Cause: a target's answer to a release had one byte in its handover that is no UTF-8. The handover goes into the JSON body of the next grant, and encoding that threw json type_error 316 out of coordinated_service::advanceAll(), which left m_isAdvancing set, so that no later call did anything.

--- a/include/clementinebeam/gateway/gatewaytypes.h
+++ b/include/clementinebeam/gateway/gatewaytypes.h
@@ -85,7 +85,8 @@
     std::optional<std::chrono::seconds> idleTimeout;
     /// What the target states about itself; nothing if that can't be decoded.
     std::optional<target_statement> statement;
-    std::string handover; ///< State reference returned by a release.
+    /// State reference returned by a release; plain text, empty if there is none.
+    std::string handover;
 };
 
 /// Limits that the operators' rules impose on the system.
--- a/tests/platform/targetstandin.cpp
+++ b/tests/platform/targetstandin.cpp
@@ -1,5 +1,6 @@
 #include "targetstandin.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace clementinebeam {
@@ -44,11 +45,14 @@
     }
     if (call.target() == "/grant") {
         ++m_grants;
+        m_receivedHandover =
+                nlohmann::json::parse(call.body()).value("handover", m_receivedHandover);
         connection->respond(makeOwnAnswer(200));
         return;
     }
     if (call.target() == "/release") {
-        const auto handover = m_handover.value_or(m_id + '-' + std::to_string(++m_releases));
+        ++m_releases;
+        const auto handover = m_handover.value_or(m_id + '-' + std::to_string(m_releases));
         auto answer = makeOwnAnswer(200);
         if (!handover.empty())
             answer.set("X-Clementinebeam-Handover", handover);
--- a/tests/platform/targetstandin.h
+++ b/tests/platform/targetstandin.h
@@ -46,6 +46,12 @@
     /// @return the number of grants received.
     int grants() const { return m_grants; }
 
+    /// @return the number of releases received.
+    int releases() const { return m_releases; }
+
+    /// @return the handover in the last grant that had one.
+    const std::string &receivedHandover() const { return m_receivedHandover; }
+
 private:
     boost::asio::io_context &m_context;
     std::string m_id;
@@ -58,6 +64,7 @@
     int m_grants = 0;
     int m_releases = 0;
     std::optional<std::string> m_handover; ///< Empty if the answers have none.
+    std::string m_receivedHandover;
 };
 
 } // namespace clementinebeam
--- a/tests/unit/kerneltest.cpp
+++ b/tests/unit/kerneltest.cpp
@@ -3,6 +3,7 @@
 #include "clementinebeam/kernel/base64.h"
 #include "clementinebeam/kernel/networkaddress.h"
 #include "clementinebeam/kernel/orderedmutex.h"
+#include "clementinebeam/kernel/plaintext.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -97,3 +98,13 @@
                              "10.1.0.18:65536", "10.1.0.18:1x", ":80"})
         BOOST_TEST(!parseNetworkAddress(text).has_value(), text);
 }
+
+BOOST_AUTO_TEST_CASE(plain_text_is_utf_8_without_control_characters)
+{
+    for (const auto *text : {"", "k1", "caf\xc3\xa9", "a b", "\xf0\x9f\x8d\x8a"})
+        BOOST_TEST(isPlainText(text), text);
+    for (const auto *text : {"caf\xe9", "\xc3", "\xc0\x80", "\xed\xa0\x80", "\xf5\x80\x80\x80",
+                             "\x80", "a\r\nb", "\x7f", "\t"})
+        BOOST_TEST(!isPlainText(text));
+    BOOST_TEST(!isPlainText(std::string_view("a\0b", 3)));
+}
