--- a/tests/platform/malformedinputtest.cpp
+++ b/tests/platform/malformedinputtest.cpp
@@ -52,3 +52,16 @@
     run(milliseconds(100));
     BOOST_CHECK_EQUAL(askForKey("id-1").result_int(), 200U);
 }
+
+// Guards against a request that ends the handling of all others: the body of a TRACE request threw
+// an exception while decisions about requests were being carried out.
+BOOST_FIXTURE_TEST_CASE(trace_with_a_body_is_forwarded_like_any_request, keyed_fixture)
+{
+    auto call = request(http::verb::trace, "/read/x", "id-1");
+    call.body() = "jars";
+    call.content_length(call.body().size());
+    const auto answer = ask(call);
+    BOOST_CHECK_EQUAL(answer.result_int(), 200U);
+    BOOST_CHECK(answer.body().find("/read/x jars") != std::string::npos);
+    BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/read/x", "id-2")).result_int(), 200U);
+}
