Check the values of placement messages where they are decoded

A datagram that places a request at a target's host that is no address reached make_address_v4(), which throws; the exception left peer_channel::receive() before the socket was waited for again, so that the instance got no more datagrams. Times out of range overflowed where they are added to the present time, a limit that is no number reached the pacer, and reasons and ids were used as they came. Change: decodePlacementMessage() decodes and checks a datagram in one place; texts are plain, addresses, numbers and reasons in range. Anything else is dropped with the log line peer_message_dropped, as undecodable bytes are. A byte that is neither 0 nor 1 is read as true instead of an undefined bool.

--- a/include/clementinebeam/kernel/boundedarchive.h
+++ b/include/clementinebeam/kernel/boundedarchive.h
@@ -68,7 +68,13 @@
 std::enable_if_t<std::is_arithmetic_v<value_type>>
 CEREAL_LOAD_FUNCTION_NAME(bounded_input_archive &archive, value_type &value)
 {
-    archive.read(&value, sizeof(value), sizeof(value));
+    if constexpr (std::is_same_v<value_type, bool>) {
+        std::uint8_t byte = 0; // A bool that holds neither 0 nor 1 would be undefined.
+        archive.read(&byte, sizeof(byte), sizeof(byte));
+        value = byte != 0;
+    } else {
+        archive.read(&value, sizeof(value), sizeof(value));
+    }
 }
 
 template <class value_type>
--- a/src/gateway/internal/peerchannel.cpp
+++ b/src/gateway/internal/peerchannel.cpp
@@ -69,7 +69,7 @@
 
 void peer_channel::handleDatagram(std::size_t size)
 {
-    auto message = decodeBinary<peer_message>(std::string(m_buffer.data(), size));
+    auto message = decodePlacementMessage(std::string(m_buffer.data(), size));
     if (!message) {
         log_line(log_level::Warning, "peer_message_dropped")
                 .add("peer", m_sender.address().to_string())
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/dispatch/dispatchtypes.h"
+#include "clementinebeam/kernel/result.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -176,4 +177,10 @@
                      not_coordinator_message, coordinator_query_message, crash_notice_message,
                      target_statements_message>;
 
+/// Decodes a message of another instance. All that it names is checked here: texts are plain,
+/// addresses and numbers in range, so that they can be used and passed on as they are.
+/// @param bytes the bytes of one datagram.
+/// @return the message, or BadMessage if it can't be decoded or a value is out of range.
+result<peer_message> decodePlacementMessage(const std::string &bytes);
+
 } // namespace clementinebeam
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -3,6 +3,7 @@
 #include "platform/platformcodec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace clementinebeam;
 using std::chrono::milliseconds;
@@ -348,3 +349,75 @@
     context.run_for(milliseconds(20));
     BOOST_CHECK_EQUAL(coordinator.count<coordinator_query_message>(), 1U);
 }
+
+// Guards against a datagram that names a target's address that is none: connecting to it threw an
+// exception out of the handler, after which the instance received no more datagrams.
+BOOST_FIXTURE_TEST_CASE(placement_at_an_address_that_is_none_is_ignored, client_instance)
+{
+    other_instance coordinator(context, COORDINATOR_PORT);
+    std::vector<std::string> hosts{"store.example", "10.0.0", "\xff", HOST};
+    coordinator.handleMessage = [&](const udp_endpoint &peer, const peer_message &message) {
+        const auto *asked = std::get_if<place_request_message>(&message);
+        if (!asked)
+            return;
+        place_answer_message answer;
+        answer.service = SERVICE;
+        answer.token = asked->token;
+        answer.target = "a";
+        answer.targetPort = 1;
+        for (const auto &host : hosts) {
+            answer.targetHost = host;
+            coordinator.channel.send(peer, answer);
+        }
+    };
+    std::vector<network_address> addresses;
+    dispatch_request request;
+    request.arrival = boot_clock::now();
+    request.objective = request.arrival + milliseconds(2000);
+    request.deadline = request.objective;
+    client.place(SERVICE, request,
+                 [&](const dispatch_decision &, const placement_client::placement &where) {
+                     addresses.push_back(where.address);
+                 });
+    context.run_for(milliseconds(30));
+    const std::vector<network_address> expected{{HOST, 1}};
+    BOOST_CHECK(addresses == expected);
+}
+
+// Guards against values that are out of range where they are added to the present time, or that are
+// written into headers and logs.
+BOOST_AUTO_TEST_CASE(messages_with_values_out_of_range_are_rejected)
+{
+    constexpr auto HUGE_TIME = std::numeric_limits<std::int64_t>::min();
+    place_request_message request;
+    request.service = SERVICE;
+    place_answer_message answer;
+    answer.service = SERVICE;
+    target_statements_message statements{SERVICE, {{"a", 1, 1, true, 5.0, false, 0}}};
+    const auto isAccepted = [](const peer_message &message) {
+        return decodePlacementMessage(encodeBinary(message)).has_value();
+    };
+    BOOST_CHECK(isAccepted(request) && isAccepted(answer) && isAccepted(statements));
+    auto bad = request;
+    bad.service = "caf\xe9";
+    BOOST_CHECK(!isAccepted(bad));
+    bad = request;
+    bad.ageUs = HUGE_TIME;
+    BOOST_CHECK(!isAccepted(bad));
+    bad = request;
+    bad.hasKey = true;
+    bad.key = LAST_KEY + 1;
+    BOOST_CHECK(!isAccepted(bad));
+    auto badAnswer = answer;
+    badAnswer.reason = 9999;
+    BOOST_CHECK(!isAccepted(badAnswer));
+    badAnswer = answer;
+    badAnswer.target = "a\r\nb";
+    BOOST_CHECK(!isAccepted(badAnswer));
+    for (const double limit : {-1.0, std::numeric_limits<double>::quiet_NaN(),
+                               std::numeric_limits<double>::infinity()}) {
+        statements.targets.front().rateLimit = limit;
+        BOOST_CHECK(!isAccepted(statements));
+    }
+    BOOST_CHECK(!isAccepted(crash_notice_message{SERVICE, 1, {{"a", HUGE_TIME}}}));
+}
