Let no exception leave a service without further steps

Cause: state that was complete only if nothing failed. m_isAdvancing was cleared by hand; an order stood at the front of its target's queue, marked as pending, with no timeout yet; the other orders and decisions of the batch were dropped; the timer was not set again. The same in coordination (m_isApplyingRecords, the next join), store_feeds (the next read), peer_channel (the next wait), server_connection and server_listener (the next read and accept), local placements and maintenance. Change: scope_exit clears flags and starts the next read or timer. Orders and decisions leave their queue before they are handled, and the timeout of an order starts before anything that can fail. And as a bound for the whole class: a service that completes no step between two checks half a second apart, or whose steps fail for a second, is given up and claimed anew with a new term, so that its new coordinator starts from the stored record; another instance claims it if the part is not ours.

--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "clementinebeam/asynchttp/serverconnection.h"
 
 #include "clementinebeam/asynchttp/sockets.h"
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <boost/beast/http/write.hpp>
@@ -97,9 +98,9 @@
 
 void server_connection::onBytes()
 {
+    const scope_exit readOn([this] { startRead(); });
     if (!m_isHandling && !m_isWriting)
         parse();
-    startRead();
 }
 
 void server_connection::parse()
@@ -175,9 +176,9 @@
                           }
                           self->resetParser();
                           self->armTimer(self->m_handler.limits().idleTimeout);
+                          const scope_exit readOn([&self] { self->startRead(); });
                           if (self->m_buffer.size() > 0)
                               self->parse();
-                          self->startRead();
                       });
 }
 
@@ -226,21 +227,21 @@
 {
     m_acceptor.async_accept(
             [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+                const scope_exit acceptNext([this, error] {
+                    if (m_acceptor.is_open() && !error)
+                        accept();
+                });
                 // The connection may have been accepted just before the listener stopped.
                 if (!error)
                     addConnection(std::move(socket));
-                if (!m_acceptor.is_open())
-                    return;
-                if (error) {
+                if (error && m_acceptor.is_open()) {
                     log_line(log_level::Warning, "accept_failed").add("error", error.message());
                     m_retryTimer.expires_after(ACCEPT_RETRY_DELAY);
                     m_retryTimer.async_wait([this](boost::system::error_code waitError) {
                         if (!waitError)
                             accept();
                     });
-                    return;
                 }
-                accept();
             });
 }
 
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -1,8 +1,10 @@
 #include "internal/coordinatedservice.h"
 
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinebeam {
 
@@ -27,7 +29,14 @@
 constexpr milliseconds REPORT_INTERVAL{2000};
 /// Holds and the times at which keys are expected to be served change even while no owner does.
 constexpr milliseconds OWNERS_UPDATE_INTERVAL{200};
+/// A service makes at least one step in this time.
 constexpr milliseconds TARGET_UPDATE_INTERVAL{250};
+/// Delay of the step after one that an exception has ended.
+constexpr milliseconds FAILED_STEP_DELAY{50};
+/// Steps that fail for this time count as stalled. Failures that lie further apart are unrelated.
+constexpr milliseconds FAILING_TIME{1000};
+/// Calls of isStalled() without a step in between, from which the service counts as stalled.
+constexpr std::uint32_t STALLED_CHECKS = 2;
 /// Part of the configured retry slack that one coordinator gets as its retry capacity. A successor
 /// starts with as much again.
 constexpr double RETRY_SLACK_SHARE = 0.35;
@@ -165,7 +174,12 @@
 
 void coordinated_service::deliver(const dispatch_decisions &decisions)
 {
-    for (const auto &decision : decisions) {
+    // Each decision leaves the queue before it is handled, so that one that can't be handled does
+    // not keep the others from their requests.
+    m_undelivered.insert(m_undelivered.end(), decisions.begin(), decisions.end());
+    while (!m_undelivered.empty()) {
+        const auto decision = std::move(m_undelivered.front());
+        m_undelivered.pop_front();
         m_environment.metrics.observeQueueWait(m_name, decision.waited);
         m_environment.onDecision(decision);
     }
@@ -202,13 +216,44 @@
         return;
     m_isAdvancing = true;
     const auto now = boot_clock::now();
+    bool isCompleted = false;
+    const scope_exit endStep([this, isAlive = m_isAlive, &isCompleted] {
+        if (!*isAlive)
+            return;
+        m_isAdvancing = false;
+        noteStep(isCompleted, boot_clock::now());
+        schedule();
+    });
     if (m_keyCoordinator)
         advanceKeys(now);
     dispatch_decisions decisions;
     m_dispatcher.advance(now, decisions);
     deliver(decisions);
-    m_isAdvancing = false;
-    schedule();
+    isCompleted = true;
+}
+
+void coordinated_service::noteStep(bool isCompleted, instant now)
+{
+    if (isCompleted) {
+        ++m_stepCount;
+        if (now > m_lastFailure + FAILING_TIME)
+            m_failingSince = instant{};
+        return;
+    }
+    if (m_failingSince == instant{})
+        m_failingSince = now;
+    m_lastFailure = now;
+    m_notBefore = now + FAILED_STEP_DELAY;
+}
+
+bool coordinated_service::isStalled()
+{
+    const bool hasStepped = m_stepCount != m_checkedStepCount;
+    m_checkedStepCount = m_stepCount;
+    m_checksWithoutStep = hasStepped ? 0 : m_checksWithoutStep + 1;
+    const bool isFailing =
+            m_failingSince != instant{} && boot_clock::now() > m_failingSince + FAILING_TIME;
+    return isFailing || m_checksWithoutStep >= STALLED_CHECKS;
 }
 
 void coordinated_service::advanceKeysSoon()
@@ -227,12 +272,17 @@
                 .add("term", m_record.term);
     }
     const auto actions = m_keyCoordinator->advance(now);
-    for (const auto &order : actions.releases)
-        sendRelease(order);
-    for (const auto &order : actions.grants)
-        sendGrant(order);
     if (actions.wantsStore)
         m_environment.onStoreNeeded();
+    m_unsentReleases.insert(m_unsentReleases.end(), actions.releases.begin(),
+                            actions.releases.end());
+    for (const auto &order : actions.grants) {
+        auto &queue = m_grantQueues[order.target];
+        queue.push_back(order);
+        if (queue.size() == 1)
+            m_targetsToGrant.push_back(order.target);
+    }
+    sendOrders();
     updateOwners(now);
     if (now >= m_nextReport)
         reportKeys();
@@ -274,9 +324,10 @@
 void coordinated_service::schedule()
 {
     const auto now = boot_clock::now();
-    auto next = m_dispatcher.nextDeadline(now);
+    auto next = std::min(m_dispatcher.nextDeadline(now), m_nextTargetUpdate);
     if (m_keyCoordinator)
         next = std::min(next, m_nextKeyAdvance);
+    next = std::max(next, m_notBefore);
     // A timer that is due sooner is kept, so that frequent requests can't postpone it forever.
     if (next >= m_timerDue)
         return;
@@ -286,6 +337,10 @@
         if (error || !*isAlive)
             return;
         m_timerDue = instant::max();
+        const scope_exit setTimer([this, isAlive] {
+            if (*isAlive)
+                schedule();
+        });
         if (boot_clock::now() >= m_nextTargetUpdate)
             updateTargets();
         else
@@ -293,42 +348,51 @@
     });
 }
 
-void coordinated_service::sendGrant(const grant_order &order)
+/// Sends the orders that were issued. Each one leaves its queue first, and its timeout runs from
+/// then on.
+void coordinated_service::sendOrders()
 {
-    auto &queue = m_grantQueues[order.target];
-    queue.push_back(order);
-    if (queue.size() == 1)
-        sendNextGrant(order.target);
+    while (!m_unsentReleases.empty()) {
+        const auto order = std::move(m_unsentReleases.front());
+        m_unsentReleases.pop_front();
+        sendRelease(order);
+    }
+    while (!m_targetsToGrant.empty()) {
+        const auto target = std::move(m_targetsToGrant.front());
+        m_targetsToGrant.pop_front();
+        sendNextGrant(target);
+    }
 }
 
 void coordinated_service::sendNextGrant(const target_id &target)
 {
-    const auto order = m_grantQueues[target].front();
-    const auto done = [this, target](order_result outcome, const std::string &) {
-        onGrantDone(target, outcome);
-    };
+    const auto grant = m_grantQueues[target].front();
+    const auto order =
+            beginOrder(GRANT_TIMEOUT, [this, target](order_result outcome, const std::string &) {
+                onGrantDone(target, outcome);
+            });
     const auto *listed = m_environment.targets.find(target);
     if (!listed) {
-        finishLater(order_result::NotSent, done);
+        finishLater(order, order_result::NotSent);
         return;
     }
-    if (boot_clock::now() > order.issued + MAX_GRANT_DELAY) {
-        finishLater(order_result::Deferred, done);
+    if (boot_clock::now() > grant.issued + MAX_GRANT_DELAY) {
+        finishLater(order, order_result::Deferred);
         return;
     }
     const auto entry = listed->entry;
-    const auto connection = m_controlPool.take(entry);
-    if (!connection->isReusable()) {
-        connect(entry, connection, done);
+    order->connection = m_controlPool.take(entry);
+    if (!order->connection->isReusable()) {
+        connect(entry, order);
         return;
     }
-    if (!m_keyCoordinator->mayGrantOn(connection->openedAt())) {
-        m_controlPool.giveBack(entry, connection, std::nullopt);
+    if (!m_keyCoordinator->mayGrantOn(order->connection->openedAt())) {
+        m_controlPool.giveBack(entry, order->connection, std::nullopt);
         m_environment.onOwnershipReadNeeded();
-        finishLater(order_result::Deferred, done);
+        finishLater(order, order_result::Deferred);
         return;
     }
-    call(entry, connection, m_environment.format.grantCall(order), GRANT_TIMEOUT, done);
+    call(entry, order, m_environment.format.grantCall(grant));
 }
 
 void coordinated_service::onGrantDone(const target_id &target, order_result outcome)
@@ -357,51 +421,79 @@
         advanceKeysSoon();
 }
 
-void coordinated_service::connect(const target_entry &entry,
-                                  const std::shared_ptr<client_connection> &connection,
-                                  const order_handler &done)
+/// Starts the timeout of an order, before anything that can fail: an order that has begun ends.
+coordinated_service::order_pointer coordinated_service::beginOrder(milliseconds timeout,
+                                                                   order_handler done)
 {
-    connection->open([=, this, isAlive = m_isAlive](const boost::system::error_code &error) {
-        if (!*isAlive)
+    auto order = std::make_shared<pending_order>(m_environment.context);
+    order->done = std::move(done);
+    order->timer.expires_after(timeout);
+    order->timer.async_wait([order, isAlive = m_isAlive](boost::system::error_code error) {
+        if (error || !order->done)
             return;
-        // A new connection may carry a grant only after mayGrantOn() allows it, so the ownership
-        // stream is read and the key coordinator issues the grant again.
-        if (!error) {
-            m_controlPool.giveBack(entry, connection, std::nullopt);
-            m_environment.onOwnershipReadNeeded();
-        }
-        done(error ? order_result::NotSent : order_result::Deferred, {});
+        const bool hasSent = order->connection && order->connection->hasSent();
+        if (order->connection)
+            order->connection->close();
+        if (*isAlive)
+            finish(order, hasSent ? order_result::Unanswered : order_result::NotSent);
     });
+    return order;
+}
+
+void coordinated_service::finish(const order_pointer &order, order_result outcome,
+                                 const std::string &handover)
+{
+    if (!order->done)
+        return;
+    const auto done = std::exchange(order->done, nullptr);
+    order->timer.cancel();
+    done(outcome, handover);
 }
 
-void coordinated_service::finishLater(order_result outcome, const order_handler &done)
+void coordinated_service::finishLater(const order_pointer &order, order_result outcome)
 {
-    boost::asio::post(m_environment.context, [outcome, done, isAlive = m_isAlive] {
+    boost::asio::post(m_environment.context, [order, outcome, isAlive = m_isAlive] {
         if (*isAlive)
-            done(outcome, {});
+            finish(order, outcome);
     });
 }
 
-void coordinated_service::sendRelease(const release_order &order)
+void coordinated_service::connect(const target_entry &entry, const order_pointer &order)
 {
-    const auto done = [this, order](order_result answered, const std::string &handover) {
+    order->connection->open([=, this, isAlive = m_isAlive](const boost::system::error_code &error) {
+        if (!*isAlive)
+            return;
+        // A new connection may carry a grant only after mayGrantOn() allows it, so the
+        // ownership stream is read and the key coordinator issues the grant again.
+        if (!error) {
+            m_controlPool.giveBack(entry, order->connection, std::nullopt);
+            m_environment.onOwnershipReadNeeded();
+        }
+        finish(order, error ? order_result::NotSent : order_result::Deferred);
+    });
+}
+
+void coordinated_service::sendRelease(const release_order &release)
+{
+    const auto done = [this, release](order_result answered, const std::string &handover) {
         const bool isBelieved = answered != order_result::Accepted || noteHandover(handover);
         const auto outcome = isBelieved ? answered : order_result::Unanswered;
         if (outcome == order_result::Accepted)
-            logOrder(log_level::Info, "range_released", m_name, order, nameOf(outcome));
+            logOrder(log_level::Info, "range_released", m_name, release, nameOf(outcome));
         else
-            logOrder(log_level::Warning, "release_failed", m_name, order,
+            logOrder(log_level::Warning, "release_failed", m_name, release,
                      isBelieved ? nameOf(outcome) : "earlier_answer");
-        m_keyCoordinator->onReleaseResult(order, outcome, handover, boot_clock::now());
+        m_keyCoordinator->onReleaseResult(release, outcome, handover, boot_clock::now());
         advanceKeysSoon();
     };
-    const auto *listed = m_environment.targets.find(order.target);
+    const auto order = beginOrder(RELEASE_TIMEOUT, done);
+    const auto *listed = m_environment.targets.find(release.target);
     if (!listed) {
-        finishLater(order_result::NotSent, done);
+        finishLater(order, order_result::NotSent);
         return;
     }
-    call(listed->entry, m_controlPool.take(listed->entry), m_environment.format.releaseCall(order),
-         RELEASE_TIMEOUT, done);
+    order->connection = m_controlPool.take(listed->entry);
+    call(listed->entry, order, m_environment.format.releaseCall(release));
 }
 
 /// Targets may write an earlier answer once more, and answers to orders name no order. The answer
@@ -418,33 +510,23 @@
     return true;
 }
 
-void coordinated_service::call(const target_entry &entry,
-                               const std::shared_ptr<client_connection> &connection,
-                               http_call request, milliseconds timeout, const order_handler &done)
+void coordinated_service::call(const target_entry &entry, const order_pointer &order,
+                               http_call request)
 {
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_environment.context);
-    const auto finished = std::make_shared<bool>(false);
-    const auto isAlive = m_isAlive;
-    timer->expires_after(timeout);
-    timer->async_wait([=](boost::system::error_code error) {
-        if (error || *finished || !*isAlive)
-            return;
-        *finished = true;
-        const bool hasSent = connection->hasSent();
-        connection->close();
-        done(hasSent ? order_result::Unanswered : order_result::NotSent, {});
-    });
     request.set(boost::beast::http::field::host, entry.address.text());
-    connection->exchange(std::move(request), {},
-                         [=, this](exchange_failure failure, http_answer &&answer) {
-                             if (*finished || !*isAlive)
-                                 return;
-                             *finished = true;
-                             timer->cancel();
-                             const auto context = m_environment.format.readAnswer(answer);
-                             m_controlPool.giveBack(entry, connection, context.idleTimeout);
-                             done(resultOf(failure, answer.result_int()), context.handover);
-                         });
+    order->connection->exchange(
+            std::move(request), {},
+            [=, this, isAlive = m_isAlive](exchange_failure failure, http_answer &&answer) {
+                if (!order->done)
+                    return;
+                if (!*isAlive) {
+                    order->connection->close();
+                    return;
+                }
+                const auto context = m_environment.format.readAnswer(answer);
+                m_controlPool.giveBack(entry, order->connection, context.idleTimeout);
+                finish(order, resultOf(failure, answer.result_int()), context.handover);
+            });
 }
 
 } // namespace clementinebeam
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -89,26 +89,44 @@
     /// @return the present ownership record of the service.
     ownership_record record() const;
 
+    /// To be called at an interval of at least twice the longest time between two steps.
+    /// @return whether no step was completed since the last call but one, or steps go on failing.
+    bool isStalled();
+
 private:
     /// Receives the outcome of an order, and the state reference that a release returned.
     using order_handler = std::function<void(order_result, const std::string &)>;
 
+    /// An order that has been issued; it ends with its answer or its timeout.
+    struct pending_order {
+        explicit pending_order(boost::asio::io_context &context)
+            : timer(context)
+        { }
+
+        boost::asio::steady_timer timer;
+        std::shared_ptr<client_connection> connection;
+        order_handler done; ///< Empty once the order has ended.
+    };
+    using order_pointer = std::shared_ptr<pending_order>;
+
     void advanceAll();
+    void noteStep(bool isCompleted, instant now);
     void advanceKeys(instant now);
     void updateOwners(instant now);
     void deliver(const dispatch_decisions &decisions);
     void schedule();
-    void sendGrant(const grant_order &order);
+    void sendOrders();
     void sendNextGrant(const target_id &target);
     void onGrantDone(const target_id &target, order_result outcome);
-    void sendRelease(const release_order &order);
+    void sendRelease(const release_order &release);
     bool noteHandover(const std::string &handover);
-    void call(const target_entry &entry, const std::shared_ptr<client_connection> &connection,
-              http_call request, std::chrono::milliseconds timeout, const order_handler &done);
-    void connect(const target_entry &entry, const std::shared_ptr<client_connection> &connection,
-                 const order_handler &done);
+    order_pointer beginOrder(std::chrono::milliseconds timeout, order_handler done);
+    static void finish(const order_pointer &order, order_result outcome,
+                       const std::string &handover = {});
+    void finishLater(const order_pointer &order, order_result outcome);
+    void call(const target_entry &entry, const order_pointer &order, http_call request);
+    void connect(const target_entry &entry, const order_pointer &order);
     void advanceKeysSoon();
-    void finishLater(order_result outcome, const order_handler &done);
     void reportKeys();
 
     environment m_environment;
@@ -120,6 +138,9 @@
     target_connection_pool m_controlPool;
     std::deque<std::string> m_handovers; ///< Those of the last releases, oldest first.
     std::map<target_id, std::deque<grant_order>> m_grantQueues; ///< The first one is being sent.
+    std::deque<target_id> m_targetsToGrant;     ///< Those whose first grant is not being sent yet.
+    std::deque<release_order> m_unsentReleases; ///< In the order of issue.
+    std::deque<dispatch_decision> m_undelivered;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_ownersRevision = 0;
     std::uint64_t m_reportedMoves = 0;
@@ -128,6 +149,12 @@
     instant m_nextTargetUpdate{};
     instant m_nextKeyAdvance{};
     instant m_timerDue = instant::max();
+    instant m_notBefore{};         ///< Earliest time of the next step, after one that failed.
+    std::uint64_t m_stepCount = 0; ///< Steps that were completed.
+    std::uint64_t m_checkedStepCount = 0;
+    std::uint32_t m_checksWithoutStep = 0;
+    instant m_failingSince{}; ///< First of the failed steps; zero if the last one is long ago.
+    instant m_lastFailure{};
     bool m_isAuthorityExpired = false;
     bool m_isAdvancing = false;
     std::shared_ptr<bool> m_isAlive;
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -1,5 +1,6 @@
 #include "internal/coordination.h"
 
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <algorithm>
@@ -101,6 +102,7 @@
             m_memberName, m_generation, MEMBERSHIP_LIFETIME, [this](const membership &result) {
                 if (!m_isCandidate)
                     return;
+                const scope_exit joinAgain([this] { scheduleJoin(JOIN_INTERVAL); });
                 m_environment.metrics.countStoreCall("join", nameOf(result.failure));
                 if (result.failure == store_failure::None) {
                     const std::set<std::uint32_t> parts(result.parts.begin(), result.parts.end());
@@ -115,7 +117,6 @@
                     m_parts = parts;
                     updateClaims();
                 }
-                scheduleJoin(JOIN_INTERVAL);
             });
 }
 
@@ -139,6 +140,20 @@
     updateClaims();
 }
 
+void coordination::restartStalledServices()
+{
+    const auto count = std::erase_if(m_coordinated, [this](const auto &item) {
+        const auto &[name, service] = item;
+        if (!service->isStalled())
+            return false;
+        log_line(log_level::Error, "coordination_stalled").add("service", name);
+        m_servicesToStore.erase(name);
+        return true;
+    });
+    if (count > 0)
+        updateClaims();
+}
+
 coordinated_service *coordination::coordinated(const service_name &service)
 {
     const auto found = m_coordinated.find(service);
@@ -169,7 +184,9 @@
         return;
     for (const auto &service : m_services) {
         const auto *known = record(service.name);
-        if (!isResponsibleFor(service.name) || (known && (isOwn(*known) || !mayReplace(*known))))
+        const bool isCoordinated = coordinated(service.name) != nullptr;
+        if (isCoordinated || !isResponsibleFor(service.name)
+            || (known && !isOwn(*known) && !mayReplace(*known)))
             continue;
         // A claim based on an old list would take ranges from targets that have started since.
         if (mayClaimByList() && hasTargets(service.name))
@@ -286,10 +303,10 @@
         }
         record = makeClaim(*rule);
     }
+    const store_record encoded{name, encodeBinary(record), false};
     m_isAppending = true;
     const auto sentAt = boot_clock::now();
-    m_environment.store.appendAt(store_stream::Coordination, m_appliedEnd,
-                                 {name, encodeBinary(record), false},
+    m_environment.store.appendAt(store_stream::Coordination, m_appliedEnd, encoded,
                                  [this, record, isClaim, sentAt](const append_outcome &outcome) {
                                      onAppended(record, isClaim, sentAt, outcome);
                                  });
@@ -333,10 +350,12 @@
     // Nothing may be appended at the new end before all records up to it are applied. Otherwise
     // this instance could store its state after an own record, although a claim of its successor
     // follows in the same batch.
-    m_isApplyingRecords = true;
-    for (const auto &record : records)
-        applyRecord(record, requestedAt);
-    m_isApplyingRecords = false;
+    {
+        m_isApplyingRecords = true;
+        const scope_exit endOfRecords([this] { m_isApplyingRecords = false; });
+        for (const auto &record : records)
+            applyRecord(record, requestedAt);
+    }
     m_appliedEnd = std::max(m_appliedEnd, end);
     m_isAppliedEndKnown = true;
     for (const auto &[name, service] : m_coordinated)
@@ -365,7 +384,7 @@
         stopCoordinating(record.service, record);
     } else if (auto *service = coordinated(record.service)) {
         service->onStored(record.nextFence);
-    } else {
+    } else if (isNewCoordinator) {
         const auto rule = std::find_if(m_services.begin(), m_services.end(), [&](const auto &item) {
             return item.name == record.service;
         });
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -75,6 +75,10 @@
                      instant requestedAt);
     void setStoreReachable(bool isReachable);
 
+    /// Gives up services that make no steps, so that they are claimed anew, here or by another
+    /// instance. To be called regularly.
+    void restartStalledServices();
+
     /// Records that the coordinator of a service did not answer or is disconnected from the store.
     void noteCoordinatorMissing(const service_name &service);
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -137,8 +137,8 @@
     m_maintenanceTimer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
-        runMaintenance();
         scheduleMaintenance();
+        runMaintenance();
     });
 }
 
@@ -147,6 +147,7 @@
     const auto now = boot_clock::now();
     m_pool.closeIdle(now);
     m_coordination.setStoreReachable(m_feeds.isStoreReachable());
+    m_coordination.restartStalledServices();
     m_coordination.updateCandidacy();
     m_placement.refreshRelayedView();
     if (isReady() != m_wasReady) {
--- a/src/gateway/internal/peerchannel.cpp
+++ b/src/gateway/internal/peerchannel.cpp
@@ -1,6 +1,7 @@
 #include "internal/peerchannel.h"
 
 #include "clementinebeam/kernel/binarycodec.h"
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -48,8 +49,8 @@
                         [this](boost::system::error_code error) {
                             if (error)
                                 return;
+                            const scope_exit receiveNext([this] { receive(); });
                             receiveAvailable();
-                            receive();
                         });
 }
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -2,6 +2,7 @@
 
 #include "clementinebeam/kernel/networkaddress.h"
 #include "clementinebeam/kernel/randomsource.h"
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 namespace clementinebeam {
@@ -327,11 +328,11 @@
 
 void placement_client::advanceLocal(const service_name &service)
 {
+    const scope_exit setTimer([this, &service] { scheduleLocal(service); });
     dispatch_decisions decisions;
     local(service).dispatcher->advance(boot_clock::now(), decisions);
     for (const auto &decision : decisions)
         finish(decision);
-    scheduleLocal(service);
 }
 
 void placement_client::scheduleLocal(const service_name &service)
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -1,5 +1,6 @@
 #include "internal/storefeeds.h"
 
+#include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
 #include <algorithm>
@@ -343,10 +344,16 @@
         return;
     }
     advancePosition(item, batch, requestedAt);
+    bool isApplied = false;
+    const scope_exit readOn([this, &item, &isApplied] {
+        // Records of a batch that was not applied completely are read again.
+        item.hasPosition = isApplied;
+        schedule(item, pauseAfter(item));
+    });
     item.hasPosition = true;
     apply(item, batch, requestedAt, isSnapshot);
+    isApplied = true;
     item.wasRead = true;
-    schedule(item, pauseAfter(item));
 }
 
 void store_feeds::apply(feed &item, const store_batch &batch, instant requestedAt, bool isSnapshot)
--- a/src/gatewaydaemon/main.cpp
+++ b/src/gatewaydaemon/main.cpp
@@ -73,8 +73,8 @@
         m_timer.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
-            check("poll");
             schedule();
+            check("poll");
         });
     }
 
@@ -102,11 +102,11 @@
         m_signals.async_wait([this](boost::system::error_code error, int number) {
             if (error)
                 return;
+            wait();
             if (number == SIGHUP)
                 m_watcher.check("signal");
             else
                 m_control.stop([this] { m_context.stop(); });
-            wait();
         });
     }
 
--- a/tests/platform/gatewayfixture.h
+++ b/tests/platform/gatewayfixture.h
@@ -69,6 +69,20 @@
     return settings;
 }
 
+/// The platform's formats, with a call before each grant that a test can let fail.
+class hooked_codec : public platform_codec
+{
+public:
+    http_call grantCall(const grant_order &order) const override
+    {
+        if (beforeGrant)
+            beforeGrant(order);
+        return platform_codec::grantCall(order);
+    }
+
+    std::function<void(const grant_order &)> beforeGrant;
+};
+
 /// A gateway with a store, two targets of a service without keys and one of a keyed service, all on
 /// one event loop.
 class gateway_fixture
@@ -80,7 +94,7 @@
         , second(context, "t2")
         , keyed(context, "k1")
         , m_client(context, local(STORE_PORT), 8)
-        , m_gateway(context, settingsOf(), m_client, m_codec)
+        , m_gateway(context, settingsOf(), m_client, codec)
     {
         BOOST_REQUIRE(!store.listen(local(STORE_PORT)));
         BOOST_REQUIRE(!first.listen(local(TARGET_PORT)));
@@ -143,10 +157,10 @@
     target_standin first;
     target_standin second;
     target_standin keyed;
+    hooked_codec codec;
 
 private:
     store_client m_client;
-    platform_codec m_codec;
     gateway m_gateway;
 };
 
