Put a removal off only if the entry may have lapsed

Cause: one refused read of the target list counted as an outage of the store for all, and each removal read within 2.2 s of its end was put off, as entries of live targets lapse in an outage. The drain time is 2 s. Other instances, which the store had served all the while, trusted the coordinator's list as the newer one. Change: an entry lapses after three heartbeats without a write, so a removal is put off only after an outage of at least two heartbeats, counted from the last answer of the store, and only if the target has not written its entry since the outage. The heartbeat is a setting (target_heartbeat). After longer ones, an instance that was connected takes its own list, if it is fresh, before that of a coordinator whose list was outdated within the last 2.2 s. Other lists: configurations and ownership records have versions and terms, of which the highest counts; they are not put off.

--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -9,8 +9,9 @@
 /// The targets that the platform's store lists.
 ///
 /// A target whose entry was removed is kept for a while as a leaving one, because its keys may have
-/// to be released. Entries that are removed during an outage of the store or shortly after it are
-/// kept until live targets had time to register again. Does no I/O.
+/// to be released. The store also drops the entries of live targets that could not write for some
+/// heartbeats. After an outage that was long enough for that, an entry that was removed and has not
+/// been written since is kept until live targets had time to register again. Does no I/O.
 class target_directory
 {
 public:
@@ -30,6 +31,7 @@
 
         received_statement stated; ///< What is known of it from answers, but for its pause.
         instant pausedUntil{};     ///< It asked for no requests until then.
+        instant writtenAt{};       ///< When a new write of its entry was last read.
 
         bool isLeaving() const { return isGone || entry.isDraining || stated.statement.isLeaving; }
 
@@ -59,19 +61,27 @@
     /// withdraw it.
     static constexpr std::chrono::seconds STATEMENT_LIFETIME{10};
 
+    /// Live targets register again within this time after an outage of the store.
+    static constexpr std::chrono::milliseconds REGISTRATION_TIME{2200};
+
     using target_map = std::map<target_id, listed_target>;
 
     /// @param drain longest time after a target announced that it is leaving in which it may still
     /// get requests.
-    explicit target_directory(std::chrono::milliseconds drain = std::chrono::milliseconds(2000));
+    /// @param heartbeat interval at which targets write their entries.
+    explicit target_directory(std::chrono::milliseconds drain = std::chrono::milliseconds(2000),
+                              std::chrono::milliseconds heartbeat = std::chrono::seconds(1));
 
     /// Adds or updates a target.
     /// @return whether anything changed; a new remaining warm-up time in the same run doesn't
     /// count.
     bool update(const target_entry &entry, instant now);
 
-    /// Marks a target whose entry was removed as gone; during an outage of the store and shortly
-    /// after it, this is deferred to advance().
+    /// Records that a write of a target's entry has been read, not only its newest state.
+    void noteWritten(const target_id &id, instant now);
+
+    /// Marks a target whose entry was removed as gone. If the entry may have lapsed in an outage of
+    /// the store, this is deferred to advance().
     /// @return whether the target was marked as gone.
     bool remove(const target_id &id, instant now);
 
@@ -86,8 +96,9 @@
 
     /// @param isReachable whether the last read of the target stream succeeded; Forgotten counts as
     /// success.
-    /// @param now time of the read's end; the end of an outage if the previous one failed.
-    void setStoreReachable(bool isReachable, instant now);
+    /// @param since for a success, the time of the read's end; for the first failure, the time at
+    ///     which the store last answered.
+    void setStoreReachable(bool isReachable, instant since);
 
     /// @return whether the last read of the target stream succeeded.
     bool isStoreReachable() const { return m_isStoreReachable; }
@@ -106,16 +117,18 @@
     std::uint64_t revision() const { return m_revision; }
 
 private:
-    bool isRecovering(instant now) const;
+    bool mayHaveLapsed(const listed_target &target, instant now) const;
     void markGone(listed_target &target, instant now);
     static void updateLeaving(listed_target &target, instant now);
     static bool updateStatement(listed_target &target, const received_statement &received);
 
     const std::chrono::milliseconds m_ownerGraceTime;
+    const std::chrono::milliseconds m_lapseTime; ///< Shortest outage in which live entries lapse.
     target_map m_targets;
     std::map<target_id, instant> m_pendingRemovals;
     bool m_isStoreReachable = true;
-    instant m_outageEnd{};
+    instant m_outageStart{}; ///< Of the present outage or the last one.
+    instant m_outageEnd{};   ///< Of the last outage in which entries may have lapsed; zero if none.
     std::uint64_t m_revision = 1;
 };
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -45,7 +45,7 @@
                  i_cluster_store &store, const i_message_format &format)
     : m_settings(settings)
     , m_format(format)
-    , m_targets(settings.bounds.drain)
+    , m_targets(settings.bounds.drain, settings.targetHeartbeat)
     , m_pool(context, settings.memory / ANSWER_MEMORY_DIVISOR)
     , m_quarantine(m_pool)
     , m_channel(context)
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -14,6 +14,8 @@
 constexpr value_range<std::int64_t> PARTS_RANGE{1, 1024};
 constexpr value_range<std::int64_t> MEMORY_MB_RANGE{16, 1LL << 20};
 constexpr std::size_t BYTES_PER_MB = 1UL << 20U;
+constexpr value_range<std::chrono::milliseconds> HEARTBEAT_RANGE{std::chrono::milliseconds(10),
+                                                                 std::chrono::minutes(10)};
 constexpr value_range<double> PROCESSOR_SHARE_RANGE{0.001, 1024.0};
 
 /// Reads an address of the form "IPv4:port".
@@ -110,6 +112,7 @@
     std::size_t memoryMb = settings.memory / BYTES_PER_MB;
     reader.readInteger("memory_mb", memoryMb, MEMORY_MB_RANGE);
     settings.memory = memoryMb * BYTES_PER_MB;
+    readDuration(reader, "target_heartbeat", settings.targetHeartbeat, HEARTBEAT_RANGE);
     readBounds(reader, settings.bounds, problems);
     reader.finish();
     if (!problems.empty())
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -736,9 +736,6 @@
     decision.queueLength = message.queueLength;
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
-    // A coordinator that is disconnected from the store may place requests by an outdated list.
-    const bool isOwnListNewer =
-            m_streamAge(store_stream::Targets) < milliseconds(message.targetListAgeMs);
     const bool isKeyed = item->request.key.has_value();
     const bool isBoundByStatement = hasOwnStatement(decision.target);
     // The coordinator may know better that the target has started again.
@@ -746,7 +743,24 @@
         m_onStale(store_stream::Targets);
     finish(decision,
            {{message.targetHost, message.targetPort},
-            (isOwnListNewer || isBoundByStatement) && acceptsNoRequests(decision, isKeyed)});
+            (isOwnListPreferred(message) || isBoundByStatement)
+                    && acceptsNoRequests(decision, isKeyed)});
+}
+
+/// @return whether this instance's list of targets counts more than the coordinator's. A
+/// coordinator
+///     that is disconnected from the store may place requests by an outdated list. After its return
+///     it keeps targets whose entries may have lapsed meanwhile; an instance that was connected
+///     knows better.
+bool placement_client::isOwnListPreferred(const place_answer_message &message) const
+{
+    const auto ownAge = m_streamAge(store_stream::Targets);
+    if (ownAge < milliseconds(message.targetListAgeMs))
+        return true;
+    const auto outdated = m_listOutdatedAt.find(message.service);
+    const bool isReturning = outdated != m_listOutdatedAt.end()
+            && boot_clock::now() < outdated->second + target_directory::REGISTRATION_TIME;
+    return isReturning && m_targets.isStoreReachable() && ownAge <= MAX_LOCAL_LIST_AGE;
 }
 
 void placement_client::reportMissing(const service_name &service)
@@ -776,11 +790,13 @@
     const milliseconds targetListAge(message.targetListAgeMs);
     m_relayedView.noteAnswer(targetListAge, milliseconds(message.configurationAgeMs),
                              boot_clock::now());
-    if (targetListAge > MAX_COORDINATOR_LIST_AGE)
+    if (targetListAge > MAX_COORDINATOR_LIST_AGE) {
+        m_listOutdatedAt[message.service] = boot_clock::now();
         reportMissing(message.service);
-    else if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large))
+    } else if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large)) {
         m_coordination->noteCoordinatorAnswer(
                 message.service, static_cast<coordination::coordinator_rank>(message.rank));
+    }
 }
 
 void placement_client::sendNotCoordinator(const udp_endpoint &peer, const service_name &service,
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -162,6 +162,7 @@
     void finish(const dispatch_decision &decision);
     void finish(const dispatch_decision &decision, const placement &where);
     bool hasOwnStatement(const target_id &target) const;
+    bool isOwnListPreferred(const place_answer_message &message) const;
     bool acceptsNoRequests(const dispatch_decision &decision, bool isKeyed) const;
     void reportMissing(const service_name &service);
     void queryPeers(const service_name &service);
@@ -221,6 +222,8 @@
     std::unordered_map<request_token, udp_endpoint> m_requesters;
     /// Time until which silent coordinators get no requests.
     std::map<service_name, instant> m_silentUntil;
+    /// When the coordinator's list of targets was last seen to be outdated.
+    std::map<service_name, instant> m_listOutdatedAt;
     /// Earliest time of the next read of ownership because of a missing coordinator.
     instant m_nextOwnershipRead{};
     std::map<service_name, local_service> m_local;
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -307,7 +307,7 @@
 void store_feeds::noteTargetRead(const feed &item, instant requestedAt, instant now)
 {
     const bool isReachable = item.failures == 0;
-    m_targets.setStoreReachable(isReachable, now);
+    m_targets.setStoreReachable(isReachable, isReachable ? now : m_lastAnswerAt);
     if (!isReachable && m_targetReadsFailedSince == instant{})
         m_targetReadsFailedSince = requestedAt;
     if (!isReachable || m_targetReadsFailedSince == instant{})
@@ -331,6 +331,8 @@
     updateReachability(item, batch.failure);
     if (item.stream == store_stream::Targets)
         noteTargetRead(item, requestedAt, now);
+    if (item.failures == 0)
+        m_lastAnswerAt = now;
     if (batch.failure == store_failure::Forgotten) {
         log_line(log_level::Warning, "stream_forgotten")
                 .add("stream", nameOf(item.stream))
@@ -391,8 +393,12 @@
 void store_feeds::applyTargets(const store_batch &batch, instant now, bool isSnapshot)
 {
     std::map<std::string, const store_record *> newest;
-    for (const auto &record : batch.records)
+    for (const auto &record : batch.records) {
         newest[record.key] = &record;
+        // A snapshot does not tell when its records were written.
+        if (!isSnapshot && !record.isRemoved)
+            m_targets.noteWritten(record.key, now);
+    }
     const auto before = m_targets.revision();
     std::vector<target_entry> entries;
     for (const auto &[id, record] : newest) {
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -140,6 +140,7 @@
     instant m_pollOftenUntil{}; ///< End of the time in which targets are read often.
     /// When the first failed read of targets since the last successful one was sent; zero if none.
     instant m_targetReadsFailedSince{};
+    instant m_lastAnswerAt{}; ///< When a read of any stream last succeeded.
     bool m_isStopped = false;
 };
 
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -8,8 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/// Live targets register again within about two seconds after an outage of the store.
-constexpr milliseconds REGISTRATION_TIME{2200};
+/// The store drops an entry after three heartbeats without a write. The last one before an outage
+/// may be one heartbeat old when it begins.
+constexpr int LAPSE_HEARTBEATS = 2;
 /// Time from the first notice of leaving after which a removed target is dropped. Grants of keys
 /// last no longer than hold_max, by default ten seconds, so that normally nothing is left to
 /// release by then.
@@ -97,14 +98,26 @@
     return isChanged;
 }
 
-target_directory::target_directory(milliseconds drain)
+target_directory::target_directory(milliseconds drain, milliseconds heartbeat)
     : m_ownerGraceTime(drain * OWNER_GRACE_PERCENT / 100)
+    , m_lapseTime(heartbeat * LAPSE_HEARTBEATS)
 { }
 
-bool target_directory::isRecovering(instant now) const
+/// @return whether the entry of a live target may have been removed because it could not be written
+/// in an outage of the store.
+bool target_directory::mayHaveLapsed(const listed_target &target, instant now) const
 {
-    return !m_isStoreReachable
-            || (m_outageEnd != instant{} && now < m_outageEnd + REGISTRATION_TIME);
+    if (!m_isStoreReachable)
+        return true;
+    const bool isRecovering = m_outageEnd != instant{} && now < m_outageEnd + REGISTRATION_TIME;
+    return isRecovering && target.writtenAt <= m_outageEnd;
+}
+
+void target_directory::noteWritten(const target_id &id, instant now)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end())
+        found->second.writtenAt = now;
 }
 
 bool target_directory::update(const target_entry &entry, instant now)
@@ -163,7 +176,7 @@
     const auto found = m_targets.find(id);
     if (found == m_targets.end() || found->second.isGone)
         return false;
-    if (isRecovering(now)) {
+    if (mayHaveLapsed(found->second, now)) {
         m_pendingRemovals.emplace(id, now);
         return false;
     }
@@ -184,26 +197,28 @@
     }
 }
 
-void target_directory::setStoreReachable(bool isReachable, instant now)
+void target_directory::setStoreReachable(bool isReachable, instant since)
 {
-    if (isReachable && !m_isStoreReachable)
-        m_outageEnd = now;
+    if (!isReachable && m_isStoreReachable)
+        m_outageStart = since;
+    if (isReachable && !m_isStoreReachable && since >= m_outageStart + m_lapseTime)
+        m_outageEnd = since;
     m_isStoreReachable = isReachable;
 }
 
 bool target_directory::advance(instant now)
 {
     bool hasChanged = false;
-    if (!isRecovering(now)) {
-        for (const auto &[id, removedAt] : m_pendingRemovals) {
-            const auto found = m_targets.find(id);
-            if (found == m_targets.end() || found->second.isGone)
-                continue;
-            markGone(found->second, now);
-            hasChanged = true;
-        }
-        m_pendingRemovals.clear();
-    }
+    std::erase_if(m_pendingRemovals, [&](const auto &item) {
+        const auto found = m_targets.find(item.first);
+        if (found == m_targets.end() || found->second.isGone)
+            return true;
+        if (mayHaveLapsed(found->second, now))
+            return false;
+        markGone(found->second, now);
+        hasChanged = true;
+        return true;
+    });
     std::erase_if(m_targets, [&](const auto &item) {
         return item.second.isGone && now > item.second.leavingSince + GONE_RETENTION;
     });
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -396,6 +396,50 @@
     BOOST_CHECK(directory.find("i-1")->isGone);
 }
 
+// Guards against requests at a target that has left (DRAIN, review case 3): entries of live targets
+// can't have lapsed in an outage of less than two heartbeats, so that a removal counts at once.
+BOOST_AUTO_TEST_CASE(removal_around_a_short_outage_counts_at_once)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    directory.setStoreReachable(true, START + milliseconds(1100));
+    directory.remove("i-1", START + milliseconds(1100));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+}
+
+// Guards against requests at a target that has left (DRAIN): one that has written its entry since
+// the outage was registered again, so that its removal is no lapse.
+BOOST_AUTO_TEST_CASE(removal_of_a_target_that_has_written_since_the_outage_counts_at_once)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(5);
+    directory.update(entry, START);
+    directory.noteWritten("i-1", START);
+    directory.setStoreReachable(false, START);
+    directory.setStoreReachable(true, end);
+    directory.noteWritten("i-1", end + milliseconds(300));
+    directory.remove("i-1", end + milliseconds(600));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+}
+
+// A write that was read together with the first answer after the outage may be older than it.
+BOOST_AUTO_TEST_CASE(write_read_at_the_end_of_the_outage_proves_nothing)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(5);
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    directory.setStoreReachable(true, end);
+    directory.noteWritten("i-1", end);
+    directory.remove("i-1", end);
+    directory.advance(end + seconds(2));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_pause_does_not_hide_that_a_target_leaves)
 {
     auto answer = makeOwnAnswer(503);
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -421,3 +421,54 @@
     }
     BOOST_CHECK(!isAccepted(crash_notice_message{SERVICE, 1, {{"a", HUGE_TIME}}}));
 }
+
+// Guards against requests at a target that has left (DRAIN, review case 3): after its return to the
+// store, the coordinator keeps a target whose entry may have lapsed, and its list is new again.
+BOOST_FIXTURE_TEST_CASE(own_list_counts_against_a_coordinator_that_was_disconnected,
+                        client_instance)
+{
+    listTargetsWithoutCoordinator();
+    targets.remove("a", boot_clock::now());
+    other_instance coordinator(context, COORDINATOR_PORT);
+    std::int64_t listAgeMs = 0;
+    coordinator.handleMessage = [&](const udp_endpoint &peer, const peer_message &message) {
+        const auto *asked = std::get_if<place_request_message>(&message);
+        if (!asked)
+            return;
+        place_answer_message answer;
+        answer.service = SERVICE;
+        answer.token = asked->token;
+        answer.target = "a";
+        answer.targetHost = HOST;
+        answer.targetPort = 1;
+        answer.targetListAgeMs = listAgeMs;
+        coordinator.channel.send(peer, answer);
+    };
+    client.setStreamAge([](store_stream) { return milliseconds(500); });
+    const auto isRefused = [this] {
+        std::optional<bool> isLeaving;
+        dispatch_request request;
+        request.arrival = boot_clock::now();
+        request.objective = request.arrival + milliseconds(2000);
+        request.deadline = request.objective;
+        client.place(SERVICE, request,
+                     [&](const dispatch_decision &, const placement_client::placement &where) {
+                         isLeaving = where.isLeaving;
+                     });
+        context.run_for(milliseconds(30));
+        return isLeaving;
+    };
+    ownership_record record;
+    record.service = SERVICE;
+    record.term = 3;
+    record.coordinator = textOf(COORDINATOR_PORT);
+    record.coordinatorRun = 1;
+    ownCoordination.onOwnership({record}, 3, boot_clock::now());
+    BOOST_CHECK(isRefused() == false); // The coordinator's list is newer.
+    listAgeMs = 2000;
+    BOOST_CHECK(isRefused() == true);
+    listAgeMs = 10; // It has just returned.
+    BOOST_CHECK(isRefused() == true);
+    context.run_for(target_directory::REGISTRATION_TIME);
+    BOOST_CHECK(isRefused() == false);
+}
