Leave memory for other answers when one does not end

Reported by other operators: endless bytes from a target. No process of ours ended, but one answer could hold the whole budget for answers (a quarter of the memory limit; 4 MB for answers to grants and releases of all targets) until its deadline, while sound answers to other callers, and to orders, failed as too large. Change: an answer may hold at most as much as it leaves for all others, which bounds one connection by half of the budget and several by less each. Measured: new case of clientconnectiontest failed before (the sound answer ended as too large, the other one kept its bytes); large_answer_is_received shows that half of the budget can still be used.

--- a/include/clementinebeam/asynchttp/bytebudget.h
+++ b/include/clementinebeam/asynchttp/bytebudget.h
@@ -8,8 +8,9 @@
 /// Limits the memory for answers that are being received, as a sum over all connections that share
 /// the budget.
 ///
-/// Protects against many faulty peers that send endless data at once: a limit for each answer alone
-/// would have to be far below the size of valid answers.
+/// Protects against faulty peers that send endless data: a fixed limit for each answer alone would
+/// have to be far below the size of valid answers. Each answer may hold at most as much as it leaves
+/// for all others, so that one that does not end can't use the budget up.
 class byte_budget
 {
 public:
@@ -18,11 +19,14 @@
         : m_limit(limit)
     { }
 
-    /// Reserves bytes unless that would exceed the limit.
+    /// Reserves bytes for an answer, unless it would then hold more than is left.
+    /// @param bytes how many.
+    /// @param held bytes that are reserved for the same answer already.
     /// @return whether the bytes were reserved.
-    bool tryReserve(std::size_t bytes)
+    bool tryReserve(std::size_t bytes, std::size_t held)
     {
-        if (bytes > m_limit - m_used)
+        const auto left = m_limit - m_used;
+        if (held > left || bytes > (left - held) / 2)
             return false;
         m_used += bytes;
         return true;
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -61,6 +61,14 @@
         boost::asio::write(*socket, boost::asio::buffer(bytes));
     }
 
+    /// Writes bytes that may exceed the buffers of the connection.
+    static void writeLater(const std::shared_ptr<tcp::socket> &socket, std::string bytes)
+    {
+        const auto text = std::make_shared<std::string>(std::move(bytes));
+        boost::asio::async_write(*socket, boost::asio::buffer(*text),
+                                 [socket, text](boost::system::error_code, std::size_t) {});
+    }
+
     /// Closes the connection in an orderly way or with a reset.
     static void end(const std::shared_ptr<tcp::socket> &socket, bool isReset)
     {
@@ -220,6 +228,52 @@
 
 // Guards against giving a caller the answer to an earlier call: in similar systems, a duplicate of
 // an answer came late, on a connection that was already in use for the next call.
+// Guards against one answer that does not end and keeps the whole budget until its deadline, while
+// sound answers to other callers are refused as too large.
+BOOST_AUTO_TEST_CASE(answer_that_does_not_end_leaves_memory_for_others)
+{
+    client_fixture fixture;
+    const auto part = [](std::size_t percent) { return std::string(BUDGET * percent / 100, 'x'); };
+    int accepted = 0;
+    scripted_server server(
+            fixture.context,
+            [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
+                if (count > 0)
+                    return;
+                if (++accepted == 1)
+                    self.writeLater(socket, HEAD + "\r\n" + part(90)); // No length, and no end.
+                else
+                    self.writeLater(socket, answerTo("2", part(20)));
+            });
+    const auto faulty = fixture.connect();
+    const auto unending = fixture.exchange(faulty, "1");
+    fixture.runUntil([&] { return accepted == 1; });
+    fixture.context.run_for(milliseconds(300));
+    const auto sound = fixture.connect();
+    const auto other = fixture.exchange(sound, "2");
+    fixture.runUntil([&] { return other->failure.has_value(); });
+    BOOST_CHECK(*other->failure == exchange_failure::None);
+    BOOST_CHECK(unending->failure == exchange_failure::AnswerTooLarge);
+}
+
+// Without a fault, an answer may take half of the budget.
+BOOST_AUTO_TEST_CASE(large_answer_is_received)
+{
+    client_fixture fixture;
+    const std::string body(BUDGET * 45 / 100, 'x');
+    scripted_server server(
+            fixture.context,
+            [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
+                if (count == 0)
+                    self.writeLater(socket, answerTo("1", body));
+            });
+    const auto connection = fixture.connect();
+    const auto result = fixture.exchange(connection, "1");
+    fixture.runUntil([&] { return result->failure.has_value(); });
+    BOOST_CHECK(*result->failure == exchange_failure::None);
+    BOOST_CHECK_EQUAL(result->body.size(), body.size());
+}
+
 BOOST_AUTO_TEST_CASE(late_duplicate_of_an_answer_never_reaches_the_next_call)
 {
     const auto duplicate = answerTo("1", "first");
