Reject odd values where entries, records and answers are decoded

No process ended here and the list was followed (nested 40,000 deep, numbers too large, ports out of range, bytes that are no text), but an odd entry could do harm: numbers were cut to 32 bits, so that slots read as 1 and as a target that is never full; an id with a line break ended the head of each request to its target; a load of running and 1 waiting requests read as idle; a split weight of 1e300 made all other weights vanish; a page of the list whose last record was odd ended the list there, and the targets after it counted as removed. An ownership record of another writer with ranges that do not cover the keys, or with a token that can't be increased, was continued. Log values are cut at 512 bytes, and bytes that are no text are written as \xNN.

--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -73,6 +73,11 @@
     }
 };
 
+/// @param record a record that another process has stored.
+/// @return whether it can be continued: its ranges cover all keys in order or there are none, and
+/// its numbers can be increased.
+bool isConsistent(const ownership_record &record);
+
 /// A target that may own keys.
 struct key_holder {
     target_id id;
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -428,7 +428,7 @@
     std::vector<ownership_record> records;
     for (const auto &record : batch.records) {
         auto decoded = decodeBinary<ownership_record>(record.value);
-        if (decoded)
+        if (decoded && decoded.value().service == record.key && isConsistent(decoded.value()))
             records.push_back(std::move(decoded.value()));
         else
             log_line(log_level::Error, "ownership_record_unreadable").add("service", record.key);
--- a/src/observability/internal/logline.cpp
+++ b/src/observability/internal/logline.cpp
@@ -1,5 +1,7 @@
 #include "clementinebeam/observability/logline.h"
 
+#include "clementinebeam/kernel/plaintext.h"
+
 #include <algorithm>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -31,6 +33,9 @@
     return log4cxx::Level::getError();
 }
 
+/// Longest value that is written completely, in bytes; lines have to stay small.
+constexpr std::size_t MAX_VALUE_BYTES = 512;
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char character) {
@@ -38,13 +43,22 @@
            });
 }
 
-std::string quote(std::string_view value)
+/// @return the value in quotes; quotes, backslashes and bytes that are no text are escaped.
+std::string quote(std::string_view value, bool isPlain)
 {
+    static constexpr std::string_view HEX = "0123456789abcdef";
     std::string text = "\"";
-    for (const char character : value) {
+    for (const unsigned char character : value) {
+        const bool isPrintable = character >= ' ' && character < 0x7f;
+        if (!isPlain && !isPrintable) {
+            text += "\\x";
+            text += HEX[character >> 4U];
+            text += HEX[character & 15U];
+            continue;
+        }
         if (character == '"' || character == '\\')
             text += '\\';
-        text += static_cast<unsigned char>(character) < ' ' ? ' ' : character;
+        text += static_cast<char>(character);
     }
     return text + '"';
 }
@@ -80,7 +94,14 @@
     m_text += ' ';
     m_text += key;
     m_text += '=';
-    m_text += needsQuotes(value) ? quote(value) : std::string(value);
+    const auto shown = value.substr(0, MAX_VALUE_BYTES);
+    const bool isPlain = isPlainText(shown);
+    if (isPlain && !needsQuotes(shown))
+        m_text += shown;
+    else
+        m_text += quote(shown, isPlain);
+    if (shown.size() < value.size())
+        m_text += "...";
     return *this;
 }
 
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -82,6 +82,9 @@
         {"/info/slots", "\"2\"", false},
         {"/info/slots", "0", false},
         {"/info/slots", "-1", false},
+        {"/info/slots", "4294967297", false},
+        {"/info/slots", "4294967295", false},
+        {"/info/slots", "18446744073709551616", false},
         {"/status/phase", "\"asleep\"", false},
         {"/status/phase", "null", false},
         {"/status/phase", "\"draining\"", true},
@@ -104,6 +107,9 @@
         {"/routes/rows/0/4", "\"fast\"", false},
         {"/routes/rows/0/7", "[]", false},
         {"/routes/rows/0/7/0/weight", "-1", false},
+        {"/routes/rows/0/7/0/weight", "1e300", false},
+        {"/routes/rows/0/6", "4294967296", false},
+        {"/routes/rows/0/8", "4294967297", false},
         {"/routes/rows/1/9", "null", false},
         {"/services", "", false},
         {"/services/rows/0/3", "\"yes\"", false},
@@ -148,6 +154,33 @@
     BOOST_CHECK_EQUAL(static_cast<bool>(entry), row.isAccepted);
 }
 
+// Guards against ids that would end the head of a request to the target.
+BOOST_AUTO_TEST_CASE(target_entry_needs_an_id_that_is_text)
+{
+    const auto bytes = targetEntry().dump();
+    for (const auto &id :
+         {std::string(), std::string("a\r\nb"), std::string("caf\xe9"), std::string(256, 'a')})
+        BOOST_CHECK(!CODEC.readTarget(id, bytes).has_value());
+    BOOST_CHECK(CODEC.readTarget(std::string(255, 'a'), bytes).has_value());
+}
+
+// Guards against a limit that is cut to the bits that fit: 0 would refuse each request.
+BOOST_AUTO_TEST_CASE(limit_out_of_range_is_ignored)
+{
+    auto message = configuration();
+    message["limits"]["max-header-bytes"] = 1ULL << 32U;
+    BOOST_CHECK_EQUAL(CODEC.readConfiguration(message.dump()).value().limits.headerBytes,
+                      server_limits().headerBytes);
+}
+
+// Guards against sums of stated numbers that overflow, so that a full target seems idle.
+BOOST_AUTO_TEST_CASE(load_out_of_range_is_ignored)
+{
+    http_answer answer;
+    answer.set("X-Clementinebeam-Server-Load", "4294967295,1,2");
+    BOOST_CHECK(!CODEC.readAnswer(answer).load);
+}
+
 BOOST_AUTO_TEST_CASE(configuration_is_read)
 {
     const auto read = CODEC.readConfiguration(configuration().dump());
@@ -346,6 +379,17 @@
     BOOST_CHECK(!decodeNewest("[]"));
 }
 
+// Guards against a list that seems complete after a page without a usable record.
+BOOST_AUTO_TEST_CASE(page_ends_after_its_last_key_also_if_that_record_is_odd)
+{
+    const auto page = decodeNewest(
+            R"({"items": [{"key": "a", "value": "eA=="}, {"key": "b", "value": 7}, {"value": ""}],
+                "more": true, "end": 3})");
+    BOOST_REQUIRE(page);
+    BOOST_CHECK_EQUAL(page->records.size(), 1U);
+    BOOST_CHECK_EQUAL(page->lastKey, "b");
+}
+
 BOOST_AUTO_TEST_CASE(durations_have_a_number_and_a_unit)
 {
     BOOST_CHECK(parseDuration("1500ms") == milliseconds(1500));
--- a/tests/platform/malformedinputtest.cpp
+++ b/tests/platform/malformedinputtest.cpp
@@ -2,6 +2,7 @@
 #include "gatewayfixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace clementinebeam;
 using namespace clementinebeam::test;
@@ -65,3 +66,117 @@
     BOOST_CHECK(answer.body().find("/read/x jars") != std::string::npos);
     BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/read/x", "id-2")).result_int(), 200U);
 }
+
+namespace {
+
+std::string nested(const std::string &opening, std::size_t depth)
+{
+    std::string text;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += opening;
+    return text;
+}
+
+/// Entries as another writer may leave them among those of targets.
+std::vector<std::string> oddEntries()
+{
+    constexpr std::size_t DEPTH = 40'000;
+    const auto valid = json::parse(entryText(TARGET_PORT, "plain", "ready"));
+    std::vector<std::string> entries{nested("[", DEPTH),
+                                     nested("{\"a\":", DEPTH),
+                                     nested("[", DEPTH) + std::string(DEPTH, ']'),
+                                     "",
+                                     "\xff\xfe",
+                                     "{",
+                                     "null",
+                                     "[]",
+                                     "7",
+                                     "\"text\"",
+                                     "{}",
+                                     std::string(200'000, '\0')};
+    const auto with = [&](const std::string &pointer, const std::string &value) {
+        auto text = valid;
+        text[json::json_pointer(pointer)] = "VALUE";
+        auto bytes = text.dump();
+        bytes.replace(bytes.find("\"VALUE\""), 7, value);
+        entries.push_back(bytes);
+    };
+    for (const auto *value : {"1e999", "-1", "18446744073709551616", "4294967297", "1e300", "2.5",
+                              "null", "[]", "\"2\""})
+        with("/info/slots", value);
+    for (const auto *value : {"1e999", "-1", "18446744073709551616", "\"soon\"", "1.5"})
+        with("/born", value);
+    for (const auto *value : {"\"127.0.0.1:65536\"", "\"127.0.0.1:70000\"", "\"127.0.0.1:\"",
+                              "\"127.0.0.1:0\"", "\"127.0.0.1:-1\"", "\"host:80\"", "\":\"", "80"})
+        with("/address", value);
+    for (const auto *value : {"\"1e999s\"", "\"-1s\"", "\"nans\"", "\"infms\"", "9"})
+        with("/status/warmup-left", value);
+    with("/info/backend", "\"\xff\"");
+    with("/info", nested("[", DEPTH) + std::string(DEPTH, ']'));
+    with("/other", nested("[", DEPTH) + std::string(DEPTH, ']'));
+    return entries;
+}
+
+} // namespace
+
+// Guards against an odd entry that ends the process, or the reading of the entries after it.
+BOOST_FIXTURE_TEST_CASE(odd_entries_do_not_stop_the_list_of_targets, keyed_fixture)
+{
+    int number = 0;
+    for (const auto &entry : oddEntries())
+        store.put("keyed.servers", "odd-" + std::to_string(++number), entry);
+    for (const auto *id : {"", "a\r\nb: c", "\xff", " "})
+        store.put("keyed.servers", id, entryText(TARGET_PORT, "plain", "ready"));
+    replaceKeyed();
+    runUntil([this] { return otherKeyed.grants() > 0; });
+    run(milliseconds(100));
+    BOOST_CHECK_EQUAL(askForKey("id-1").result_int(), 200U);
+    for (int count = 0; count < 20; ++count) {
+        const auto id = "id-" + std::to_string(count + 2);
+        BOOST_CHECK_EQUAL(ask(request(http::verb::get, "/read/x", id)).result_int(), 200U);
+    }
+}
+
+// The same for the streams of configurations and of ownership.
+BOOST_FIXTURE_TEST_CASE(odd_records_do_not_stop_the_other_streams, keyed_fixture)
+{
+    int number = 0;
+    for (const auto &entry : oddEntries()) {
+        store.put("keyed.op", "config", entry);
+        store.put("keyed.op", "odd-" + std::to_string(++number), entry);
+        store.put("keyed.coordination", "odd-" + std::to_string(number), entry);
+        store.put("keyed.coordination", "keyed", entry);
+    }
+    run(milliseconds(300));
+    store.put("keyed.op", "config", configurationText(9, "keyed"));
+    run(milliseconds(300));
+    auto call = request(http::verb::get, "/read/x", "id-1");
+    call.set("X-Clementinebeam-Shard-Key", "4711");
+    BOOST_CHECK_EQUAL(ask(call).result_int(), 200U);
+    BOOST_CHECK_EQUAL(keyed.requests().size(), 1U);
+}
+
+// Guards against an ownership record that can't be continued: its numbers would start again at 0,
+// or its ranges would leave keys without an owner.
+BOOST_AUTO_TEST_CASE(ownership_records_that_can_not_be_continued_are_known)
+{
+    ownership_record record;
+    BOOST_CHECK(isConsistent(record));
+    record.ranges = {{{0, 99}, "a", 1, 1, 1}, {{100, LAST_KEY}, "b", 1, 2, 1}};
+    BOOST_CHECK(isConsistent(record));
+    auto odd = record;
+    odd.ranges[1].keys.first = 101;
+    BOOST_CHECK(!isConsistent(odd));
+    odd = record;
+    odd.ranges[0].keys = {99, 0};
+    BOOST_CHECK(!isConsistent(odd));
+    odd = record;
+    odd.ranges[1].keys.last = LAST_KEY + 1;
+    BOOST_CHECK(!isConsistent(odd));
+    odd = record;
+    odd.ranges.pop_back();
+    BOOST_CHECK(!isConsistent(odd));
+    odd = record;
+    odd.nextFence = std::numeric_limits<fence_number>::max();
+    BOOST_CHECK(!isConsistent(odd));
+}
