Keep the memory of announced answers; place waiting requests again after a stall

Found by reading the change. An answer whose whole length was reserved at its start failed if others had reserved memory since, because the budget was asked for 0 bytes more: new case announced_answer_keeps_its_memory failed before and passes now. Requests that waited for a service that was given up stayed until their deadline if no new claim could be stored; they are placed again at once. Times in datagrams may be up to a hundred years, as the clock may count from its epoch.

--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -135,7 +135,7 @@
     const auto announced = std::min(size, m_reservedAhead);
     m_reservedAhead -= announced;
     const auto more = size - announced;
-    if (m_budget && !m_budget->tryReserve(more, m_reserved))
+    if (m_budget && more > 0 && !m_budget->tryReserve(more, m_reserved))
         return false;
     m_reserved += more;
     return true;
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -142,16 +142,22 @@
 
 void coordination::restartStalledServices()
 {
-    const auto count = std::erase_if(m_coordinated, [this](const auto &item) {
-        const auto &[name, service] = item;
-        if (!service->isStalled())
-            return false;
+    std::vector<service_name> stalled;
+    for (const auto &[name, service] : m_coordinated) {
+        if (service->isStalled())
+            stalled.push_back(name);
+    }
+    for (const auto &name : stalled) {
         log_line(log_level::Error, "coordination_stalled").add("service", name);
         m_servicesToStore.erase(name);
-        return true;
-    });
-    if (count > 0)
-        updateClaims();
+        m_coordinated.erase(name);
+    }
+    if (stalled.empty())
+        return;
+    updateClaims();
+    // Requests that waited for a decision of the service are placed again.
+    for (const auto &name : stalled)
+        m_environment.onCoordinatorChanged(name);
 }
 
 coordinated_service *coordination::coordinated(const service_name &service)
--- a/src/gateway/internal/placementmessages.cpp
+++ b/src/gateway/internal/placementmessages.cpp
@@ -19,8 +19,8 @@
 using std::chrono::milliseconds;
 
 /// Limit of times in messages. The age of data that was never read counts from the start of the
-/// machine; a larger value could overflow where it is added to the present time.
-constexpr std::chrono::hours MAX_TIME{24 * 365 * 10};
+/// machine's clock; a larger value could overflow where it is added to the present time.
+constexpr std::chrono::hours MAX_TIME{24 * 365 * 100};
 
 template <class unit>
 bool isTime(std::int64_t value)
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -256,6 +256,37 @@
     BOOST_CHECK(unending->failure == exchange_failure::AnswerTooLarge);
 }
 
+// Guards against a failure of an answer whose whole length was reserved at its beginning, because
+// others have reserved memory since.
+BOOST_AUTO_TEST_CASE(announced_answer_keeps_its_memory)
+{
+    client_fixture fixture;
+    const std::string body(BUDGET * 40 / 100, 'x');
+    const auto announced = answerTo("1", body);
+    std::shared_ptr<tcp::socket> first;
+    scripted_server server(
+            fixture.context,
+            [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
+                if (count > 0)
+                    return;
+                const auto text = first ? answerTo("2", std::string(BUDGET / 4, 'x')) : announced;
+                self.writeLater(socket, text.substr(0, text.size() / 2));
+                if (!first)
+                    first = socket;
+            });
+    const auto connection = fixture.connect();
+    const auto result = fixture.exchange(connection, "1");
+    fixture.runUntil([&] { return first != nullptr; });
+    fixture.context.run_for(milliseconds(100));
+    const auto other = fixture.connect();
+    const auto unfinished = fixture.exchange(other, "2");
+    fixture.context.run_for(milliseconds(100));
+    server.writeLater(first, announced.substr(announced.size() / 2));
+    fixture.runUntil([&] { return result->failure.has_value(); });
+    BOOST_CHECK(*result->failure == exchange_failure::None);
+    BOOST_CHECK(!unfinished->failure);
+}
+
 // Without a fault, an answer may take half of the budget.
 BOOST_AUTO_TEST_CASE(large_answer_is_received)
 {
