--- a/include/clementinebeam/asynchttp/bytebudget.h
+++ b/include/clementinebeam/asynchttp/bytebudget.h
@@ -9,8 +9,8 @@
 /// the budget.
 ///
 /// Protects against faulty peers that send endless data: a fixed limit for each answer alone would
-/// have to be far below the size of valid answers. Each answer may hold at most as much as it leaves
-/// for all others, so that one that does not end can't use the budget up.
+/// have to be far below the size of valid answers. Each answer may hold at most as much as it
+/// leaves for all others, so that one that does not end can't use the budget up.
 class byte_budget
 {
 public:
