Read requests sent ahead into bytes of their own; take configurations of newer formats

Cause: a read of a caller's connection was under way into a buffer that parsing emptied, so old bytes were parsed again and requests ran twice.

Change: reads have a destination of their own.

--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -2,6 +2,7 @@
 
 #include "clementinebeam/asynchttp/httpmessages.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -84,6 +85,8 @@
     bool isClosed() const { return m_isClosed; }
 
 private:
+    static constexpr std::size_t READ_SIZE = 4096; ///< Bytes that one read may return.
+
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void startRead();
@@ -97,7 +100,10 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     i_request_handler &m_handler;
-    boost::beast::flat_buffer m_buffer;
+    /// Destination of the read in progress. Parsing consumes m_buffer during a read and may move
+    /// its bytes, so a read must not write into it directly.
+    std::array<char, READ_SIZE> m_received{};
+    boost::beast::flat_buffer m_buffer; ///< Received bytes that are not parsed yet.
     std::optional<request_parser> m_parser;
     http_answer m_answer;
     disconnect_handler m_onDisconnect;
--- a/include/clementinebeam/dispatch/dispatchtypes.h
+++ b/include/clementinebeam/dispatch/dispatchtypes.h
@@ -52,11 +52,16 @@
 /// Last value of run_result.
 constexpr run_result LAST_RUN_RESULT = run_result::Failed;
 
+/// Reported work time of a target that is as fast as usual, in percent.
+constexpr std::uint32_t USUAL_WORK_PERCENT = 100;
+
 /// Load that a target reported along with an answer.
 struct target_load {
     std::uint32_t running = 0; ///< Requests that the target runs, without those that wait there.
     std::uint32_t waiting = 0; ///< Requests that wait at the target.
     std::uint32_t slots = 0;   ///< Requests that the target runs at a time.
+    /// How long work takes at present, in percent of the usual time.
+    std::uint32_t workPercent = USUAL_WORK_PERCENT;
 };
 
 /// What a target states about itself along with an answer.
--- a/include/clementinebeam/gateway/gatewaytypes.h
+++ b/include/clementinebeam/gateway/gatewaytypes.h
@@ -31,7 +31,10 @@
     /// How often one request may be sent; unsent attempts don't count. Only the target that failed
     /// last is excluded from the next attempt.
     std::uint32_t maxAttempts = 1;
-    std::vector<traffic_share> shares; ///< Not empty.
+    /// Empty if they could not be read; the route's requests are then rejected.
+    std::vector<traffic_share> shares;
+    /// Regions whose targets may get the requests; empty for all.
+    std::vector<std::string> allowedRegions{};
 };
 
 /// A service that routes can refer to.
@@ -40,6 +43,10 @@
     std::string healthPath;           ///< Path of the targets' health check.
     std::uint32_t maxConnections = 0; ///< Connections that each target accepts in total.
     bool isKeyed = false; ///< Each key is owned by one target, which alone may run its requests.
+    std::chrono::milliseconds warmUp{0}; ///< How long a target is cold after its start.
+    /// Requests a second that a cold target takes from all instances together; nothing for no
+    /// limit.
+    std::optional<double> warmUpRate;
 };
 
 /// One version of the routing configuration that operators write.
@@ -48,6 +55,7 @@
     std::vector<route> routes;
     std::vector<routed_service> services;
     server_limits limits;
+    std::size_t incompleteRows = 0; ///< Routes and services that could not be read in full.
 };
 
 /// The newest entry that a target published about itself in the store.
@@ -81,6 +89,8 @@
     bool isSigned = false;      ///< The signature header is present; it isn't checked.
     bool isNotExecuted = false; ///< The target states that it did not run the request.
     std::optional<target_load> load;
+    /// How long the target stays cold, if it says so.
+    std::optional<std::chrono::milliseconds> remainingWarmUp;
     /// Time after which the target closes idle connections, if announced.
     std::optional<std::chrono::seconds> idleTimeout;
     /// What the target states about itself; nothing if that can't be decoded.
@@ -98,6 +108,12 @@
     std::chrono::milliseconds drain{2000};
     std::chrono::milliseconds grace{6000};        ///< Time from SIGTERM to SIGKILL.
     std::chrono::milliseconds maxHoldTime{10000}; ///< Upper limit of a grant's hold time.
+    /// Requests that a cold target may get in any second: its warm-up rate times the factor, plus
+    /// the slack.
+    double warmUpFactor = 1.0;
+    double warmUpSlack = 0.0;
+    /// Time from the acknowledgement of an evacuation until no target there may get requests.
+    std::chrono::milliseconds evacuation{5000};
 };
 
 } // namespace clementinebeam
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -12,7 +12,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t READ_SIZE = 4096;
 /// Largest number of bytes buffered behind the current request; reading pauses at this number.
 constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
 /// Delay after a failed accept, for example when there are no more file descriptors.
@@ -82,7 +81,7 @@
         return;
     m_isReading = true;
     m_socket.async_read_some(
-            m_buffer.prepare(READ_SIZE),
+            boost::asio::buffer(m_received),
             [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
                 self->m_isReading = false;
                 if (self->m_isClosed)
@@ -91,6 +90,8 @@
                     self->close();
                     return;
                 }
+                boost::asio::buffer_copy(self->m_buffer.prepare(size),
+                                         boost::asio::buffer(self->m_received, size));
                 self->m_buffer.commit(size);
                 self->onBytes();
             });
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -212,6 +212,10 @@
         rejectRequest(connection, call, HTTP_NOT_FOUND, "no_route");
         return;
     }
+    if (entry->rule.shares.empty()) {
+        rejectRequest(connection, call, HTTP_UNAVAILABLE, "route_unreadable");
+        return;
+    }
     const auto &service = entry->nextService();
     const auto *routedService = m_routes->service(service);
     const auto exchange = std::make_shared<request_exchange>(
@@ -233,8 +237,10 @@
             .add("version", configuration.version)
             .add("previous", current)
             .add("routes", configuration.routes.size())
-            .add("services", configuration.services.size());
+            .add("services", configuration.services.size())
+            .add("incomplete_rows", configuration.incompleteRows);
     m_metrics.setConfiguration(configuration.version);
+    m_metrics.countIncompleteRows(configuration.incompleteRows);
     m_routes = std::make_unique<route_table>(std::move(configuration));
     m_placement.setConfigurationVersion(m_routes->configuration().version);
     m_coordination.setServices(m_routes->configuration().services);
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -68,6 +68,10 @@
                           "Calls to the platform's store", m_registry))
     , m_moves(family(prometheus::BuildCounter(), "clementinebeam_gateway_range_moves_total",
                      "Ranges of keys that were moved to even out the load", m_registry))
+    , m_incompleteRows(family(prometheus::BuildCounter(),
+                              "clementinebeam_gateway_incomplete_configuration_rows_total",
+                              "Routes and services that could not be read in full", m_registry)
+                               .Add({}))
     , m_ages(family(prometheus::BuildGauge(), "clementinebeam_gateway_input_age_seconds",
                     "Time since the store last confirmed an input", m_registry))
     , m_keys(family(prometheus::BuildGauge(), "clementinebeam_gateway_keys",
@@ -121,6 +125,11 @@
     m_storeCalls.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
 }
 
+void gateway_metrics::countIncompleteRows(std::size_t count)
+{
+    m_incompleteRows.Increment(static_cast<double>(count));
+}
+
 void gateway_metrics::countKeyMoves(std::string_view service, std::uint64_t count)
 {
     m_moves.Add({{"service", std::string(service)}}).Increment(static_cast<double>(count));
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -56,6 +56,9 @@
     /// @param version version of the configuration in use.
     void setConfiguration(std::uint64_t version);
 
+    /// @param count routes and services of a new configuration that could not be read in full.
+    void countIncompleteRows(std::size_t count);
+
     /// @param input name of a store stream.
     /// @param age time since the stream was last known to be up to date.
     void setAge(std::string_view input, std::chrono::milliseconds age);
@@ -79,6 +82,7 @@
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_moves;
+    prometheus::Counter &m_incompleteRows;
     prometheus::Family<prometheus::Gauge> &m_ages;
     prometheus::Family<prometheus::Gauge> &m_keys;
     prometheus::Gauge &m_version;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -58,6 +58,10 @@
     readDuration(reader, "drain", bounds.drain, {milliseconds(100), milliseconds(600000)});
     readDuration(reader, "grace", bounds.grace, {milliseconds(500), milliseconds(600000)});
     readDuration(reader, "hold_max", bounds.maxHoldTime, {milliseconds(500), milliseconds(600000)});
+    reader.readDouble("warm_up_factor", bounds.warmUpFactor, {1.0, 100.0});
+    reader.readDouble("warm_up_slack", bounds.warmUpSlack, {0.0, 1e6});
+    readDuration(reader, "evacuation", bounds.evacuation,
+                 {milliseconds(100), milliseconds(600000)});
     reader.finish();
 }
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -489,6 +489,7 @@
         item->message.running = report.load->running;
         item->message.waiting = report.load->waiting;
         item->message.slots = report.load->slots;
+        item->message.workPercent = report.load->workPercent;
     }
     m_unconfirmed[report.token] = item;
     sendReport(item);
@@ -885,7 +886,8 @@
     report.result = static_cast<run_result>(message.result);
     report.duration = microseconds(message.durationUs);
     if (message.hasLoad)
-        report.load = target_load{message.running, message.waiting, message.slots};
+        report.load =
+                target_load{message.running, message.waiting, message.slots, message.workPercent};
     own->complete(report);
 }
 
--- a/src/gateway/internal/placementmessages.cpp
+++ b/src/gateway/internal/placementmessages.cpp
@@ -62,7 +62,8 @@
 
 bool isValid(const ended_message &message)
 {
-    return isPlainText(message.service) && isTime<microseconds>(message.durationUs);
+    return isPlainText(message.service) && isTime<microseconds>(message.durationUs)
+            && (!message.hasLoad || message.workPercent > 0);
 }
 
 bool isValid(const ended_ack_message &)
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -98,11 +98,12 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::uint32_t workPercent = 0; ///< As in target_load.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(service, token, result, durationUs, hasLoad, running, waiting, slots);
+        archive(service, token, result, durationUs, hasLoad, running, waiting, slots, workPercent);
     }
 };
 
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -153,3 +153,33 @@
     BOOST_CHECK(!listener.isBusy());
     BOOST_CHECK_EQUAL(listener.connectionCount(), 0U);
 }
+
+// Guards against a read that is under way while the buffered request behind the current one is
+// parsed: bytes of an earlier request were parsed again. An order would have run twice.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_in_order)
+{
+    constexpr int REQUEST_COUNT = 6;
+    // Less than the time to handle a request, so that each one arrives while the one before it is
+    // being handled.
+    constexpr milliseconds INTERVAL{40};
+    for (const std::size_t cut : {0U, 10U, 50U, 60U}) {
+        listener_fixture fixture;
+        std::string expected;
+        for (int number = 0; number < REQUEST_COUNT; ++number) {
+            const auto body = "order-" + std::to_string(number);
+            const auto request = "POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: "
+                    + std::to_string(body.size()) + "\r\n\r\n" + body;
+            expected += body;
+            fixture.send(request.substr(0, cut));
+            fixture.context.run_for(INTERVAL / 2);
+            fixture.send(request.substr(cut));
+            fixture.context.run_for(INTERVAL / 2);
+        }
+        const auto text = fixture.received();
+        std::string bodies;
+        for (auto at = text.find("order-"); at != std::string::npos;
+             at = text.find("order-", at + 1))
+            bodies += text.substr(at, 7);
+        BOOST_CHECK_EQUAL(bodies, expected);
+    }
+}
