Wait for a silent coordinator in proportion to the request's time

Change: messages are repeated after 45, 90, 180 ms, and the coordinator counts as silent after a third of the time until the objective, from 135 to 400 ms (module placement, answer_patience).

--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -4,6 +4,7 @@
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
+#include "clementinebeam/placement/answerpatience.h"
 
 namespace clementinebeam {
 
@@ -12,13 +13,8 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Time after which an unanswered place request is sent again. Round trips within a region take up
-/// to 3 ms.
-constexpr milliseconds REQUEST_RESEND_INTERVAL{45};
 /// Interval at which a waiting request is sent again, to detect that the coordinator was lost.
 constexpr milliseconds WAITING_RESEND_INTERVAL{250};
-/// Unanswered messages after which the coordinator counts as silent.
-constexpr std::uint32_t MAX_UNANSWERED_MESSAGES = 3;
 /// How long no requests are sent to a silent coordinator.
 constexpr milliseconds SILENT_COORDINATOR_BACKOFF{700};
 /// Age of a coordinator's list of targets above which it counts as disconnected from the store. It
@@ -213,7 +209,11 @@
         placeLocally(item);
         return;
     }
-    if (item->unanswered >= MAX_UNANSWERED_MESSAGES) {
+    const auto now = boot_clock::now();
+    if (item->unanswered == 0)
+        item->askedAt = now;
+    const auto objective = item->request.objective;
+    if (item->unanswered > 0 && answer_patience::isExhausted(objective, item->askedAt, now)) {
         log_line(log_level::Warning, "coordinator_silent")
                 .add("service", item->service)
                 .add("coordinator", peer->address().to_string())
@@ -223,10 +223,11 @@
         return;
     }
     ++item->unanswered;
-    auto message = messageOf(item->service, item->request, boot_clock::now());
+    auto message = messageOf(item->service, item->request, now);
     message.configuration = m_configuration;
     m_channel.send(*peer, message);
-    requestPlacementLater(item, REQUEST_RESEND_INTERVAL);
+    requestPlacementLater(
+            item, answer_patience::nextDelay(objective, item->askedAt, item->unanswered, now));
 }
 
 void placement_client::requestPlacementLater(const pending_pointer &item, milliseconds delay)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -126,6 +126,7 @@
         decision_handler done;
         boost::asio::steady_timer timer;
         std::uint32_t unanswered = 0; ///< Messages sent to the coordinator since its last answer.
+        instant askedAt{};            ///< When the first one of these was sent.
         std::uint32_t listWaits = 0;  ///< Delays for a fresh list of targets.
     };
 
--- a/tests/platform/coordinationstoretest.cpp
+++ b/tests/platform/coordinationstoretest.cpp
@@ -60,6 +60,7 @@
                            "127.0.0.1:1",
                            17,
                            1.0,
+                           200.0,
                            [](const service_name &, const dispatch_decision &) {},
                            [](const service_name &) {},
                            [] {},
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -96,6 +96,7 @@
                    textOf(OWN_PORT),
                    17,
                    0.1,
+                   200.0,
                    [](const service_name &, const dispatch_decision &) {},
                    [this](const service_name &service) { client.onCoordinatorChanged(service); },
                    [] {},
