--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -39,8 +39,7 @@
     auto inForce = stated;
     inForce.statement.rateLimit = rateLimit(now);
     if (now < pausedUntil)
-        inForce.statement.pause =
-                std::chrono::duration_cast<milliseconds>(pausedUntil - stated.receivedAt);
+        inForce.statement.pause = std::chrono::ceil<milliseconds>(pausedUntil - stated.receivedAt);
     return inForce;
 }
 
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -553,6 +553,34 @@
     BOOST_CHECK(statement->pause == milliseconds(0));
 }
 
+// Guards against requests that arrive in the last millisecond of a pause, in which a queue that has
+// gathered meanwhile is sent at once (soak seed 262).
+BOOST_AUTO_TEST_CASE(pause_never_ends_before_the_time_that_the_target_named)
+{
+    auto answer = makeOwnAnswer(503);
+    answer.set("Retry-After", "1.263001");
+    auto statement = CODEC.readAnswer(answer).statement.value();
+    BOOST_CHECK(statement.pause == milliseconds(1264));
+    answer.set("Retry-After", "1.263");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->pause == milliseconds(1263));
+    answer.set("Retry-After", "0.000214");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->pause == milliseconds(1));
+    answer.set("Retry-After", "0");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->empty());
+
+    // What a new coordinator is told counts from a later statement.
+    target_directory directory;
+    target_entry entry;
+    entry.id = "t1";
+    directory.update(entry, START);
+    directory.noteStatement("t1", {statement, START, START});
+    const auto later = START + std::chrono::microseconds(300500);
+    directory.noteStatement("t1", {{}, START, later});
+    const auto &listed = *directory.find("t1");
+    const auto told = listed.statementInForce(later);
+    BOOST_CHECK(told.receivedAt + told.statement.pause >= listed.pausedUntil);
+}
+
 BOOST_AUTO_TEST_CASE(statement_holds_until_a_later_answer_a_restart_or_its_lifetime_ends_it)
 {
     target_directory directory;
