--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -100,6 +100,20 @@
     ///     which the store last answered.
     void setStoreReachable(bool isReachable, instant since);
 
+    /// Records that the store has served another instance without a longer outage, so that the
+    /// outage that this instance saw was its own, or ended earlier: an entry that was still missing
+    /// REGISTRATION_TIME after that is gone. Ignored while the store does not serve this instance.
+    /// @param since since when the store has served it.
+    /// @return whether a target was marked as gone.
+    bool noteStoreServing(instant since);
+
+    /// @return how long the store has served this instance without an outage in which entries of
+    ///     live targets may have lapsed; zero if it does not serve it now.
+    std::chrono::milliseconds storeServedFor(instant now) const;
+
+    /// @return whether a removal is deferred, so that the stream has to be read again soon.
+    bool hasDeferredRemovals() const { return !m_pendingRemovals.empty(); }
+
     /// @return whether the last read of the target stream succeeded.
     bool isStoreReachable() const { return m_isStoreReachable; }
 
@@ -129,6 +143,8 @@
     bool m_isStoreReachable = true;
     instant m_outageStart{}; ///< Of the present outage or the last one.
     instant m_outageEnd{};   ///< Of the last outage in which entries may have lapsed; zero if none.
+    instant m_servedSince{}; ///< First successful read after that outage, or at all; zero if none.
+    instant m_readAt{};      ///< Last successful read.
     std::uint64_t m_revision = 1;
 };
 
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -515,6 +515,7 @@
     message.configuration = m_configuration;
     message.targetListAgeMs = m_streamAge(store_stream::Targets).count();
     message.configurationAgeMs = m_streamAge(store_stream::Configuration).count();
+    message.storeServedMs = m_targets.storeServedFor(boot_clock::now()).count();
     if (const auto other = m_peers.pickOne(peer))
         message.peer = textOf(*other);
     message.rank = static_cast<std::uint8_t>(m_coordination->rank());
@@ -794,7 +795,15 @@
     if (targetListAge > MAX_COORDINATOR_LIST_AGE) {
         m_listOutdatedAt[message.service] = boot_clock::now();
         reportMissing(message.service);
-    } else if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large)) {
+        return;
+    }
+    const bool hasStore = message.storeServedMs > 0;
+    if (hasStore
+        && m_targets.noteStoreServing(boot_clock::now() - milliseconds(message.storeServedMs))) {
+        updateTargets();
+        m_coordination->onTargetsChanged();
+    }
+    if (message.rank <= static_cast<std::uint8_t>(coordination::coordinator_rank::Large)) {
         m_coordination->noteCoordinatorAnswer(
                 message.service, static_cast<coordination::coordinator_rank>(message.rank));
     }
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -208,8 +208,10 @@
     case store_stream::Targets:
         if (isCoordinating)
             return COORDINATOR_TARGETS_INTERVAL;
-        return boot_clock::now() < m_pollOftenUntil ? FREQUENT_TARGETS_INTERVAL
-                                                    : RARE_TARGETS_INTERVAL;
+        // Until the next read, targets whose removal is deferred count as live.
+        return boot_clock::now() < m_pollOftenUntil || m_targets.hasDeferredRemovals()
+                ? FREQUENT_TARGETS_INTERVAL
+                : RARE_TARGETS_INTERVAL;
     case store_stream::Coordination:
         return isCoordinating ? COORDINATOR_OWNERSHIP_PAUSE : OWNERSHIP_PAUSE;
     case store_stream::Configuration:
@@ -246,6 +248,8 @@
             && item.stream != store_stream::Configuration;
     if (item.failures >= UNREACHABLE_FAILURES && isStoreProbed && !m_listener.isCoordinating())
         return true;
+    if (item.stream == store_stream::Targets && m_targets.hasDeferredRemovals())
+        return false;
     return item.hasPosition && item.failures == 0 && now < item.confirmedAt + RELAYED_READ_INTERVAL
             && now >= m_pollOftenUntil && !m_listener.isCoordinating()
             && m_listener.isRelayedViewFresh();
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -200,11 +200,33 @@
 {
     if (!isReachable && m_isStoreReachable)
         m_outageStart = since;
-    if (isReachable && !m_isStoreReachable && since >= m_outageStart + m_lapseTime)
+    const bool isOutageEnd =
+            isReachable && !m_isStoreReachable && since >= m_outageStart + m_lapseTime;
+    if (isOutageEnd)
         m_outageEnd = since;
+    if (isReachable && (isOutageEnd || m_servedSince == instant{}))
+        m_servedSince = since;
+    if (isReachable)
+        m_readAt = since;
     m_isStoreReachable = isReachable;
 }
 
+bool target_directory::noteStoreServing(instant since)
+{
+    if (!m_isStoreReachable || since >= m_outageEnd)
+        return false;
+    m_outageEnd = since;
+    // Targets that registered after the last read are not known yet.
+    return advance(m_readAt);
+}
+
+milliseconds target_directory::storeServedFor(instant now) const
+{
+    if (!m_isStoreReachable || m_servedSince == instant{})
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(now - m_servedSince);
+}
+
 bool target_directory::advance(instant now)
 {
     bool hasChanged = false;
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -527,6 +527,49 @@
     BOOST_CHECK(directory.find("i-1")->isGone);
 }
 
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): an instance
+// that was cut off alone puts no removal off once it hears that the store has served another one.
+BOOST_AUTO_TEST_CASE(removal_after_an_outage_of_this_instance_alone_counts_at_once)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(12);
+    directory.update(entry, START);
+    directory.setStoreReachable(true, START);
+    directory.setStoreReachable(false, START);
+    BOOST_CHECK(directory.storeServedFor(START + seconds(1)) == milliseconds(0));
+    directory.setStoreReachable(true, end);
+    directory.remove("i-1", end);
+    BOOST_CHECK(directory.hasDeferredRemovals());
+    // The other instance may have come back a moment earlier.
+    BOOST_CHECK(!directory.noteStoreServing(end - milliseconds(500)));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    BOOST_CHECK(directory.noteStoreServing(end - milliseconds(2300)));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+    BOOST_CHECK(!directory.hasDeferredRemovals());
+    BOOST_CHECK(directory.storeServedFor(end + seconds(1)) == seconds(1));
+}
+
+// An entry that may have been registered again since the last read is not dropped without another
+// read.
+BOOST_AUTO_TEST_CASE(removal_waits_for_a_read_after_the_registration_time)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(12);
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    BOOST_CHECK(!directory.noteStoreServing(START));
+    directory.setStoreReachable(true, end);
+    directory.remove("i-1", end);
+    BOOST_CHECK(!directory.noteStoreServing(end - seconds(2)));
+    directory.advance(end + milliseconds(100));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    directory.setStoreReachable(true, end + milliseconds(900));
+    directory.advance(end + milliseconds(900));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+}
+
 // A write that was read together with the first answer after the outage may be older than it.
 BOOST_AUTO_TEST_CASE(write_read_at_the_end_of_the_outage_proves_nothing)
 {
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -224,3 +224,23 @@
     fixture.context.run_for(milliseconds(100));
     BOOST_CHECK_EQUAL(fixture.store.snapshotCounts[store_stream::Coordination], before + 1);
 }
+
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): while a
+// coordinator relays its view, targets are read every 30 s only, but a removal that was put off
+// after an outage counts as soon as the registration time is over.
+BOOST_AUTO_TEST_CASE(deferred_removals_are_read_again_soon)
+{
+    feed_fixture fixture;
+    target_entry entry;
+    entry.id = "t1";
+    fixture.targets.update(entry, boot_clock::now());
+    fixture.store.failure = store_failure::Refused;
+    fixture.feeds.pollTargetsOften();
+    fixture.context.run_for(milliseconds(3200));
+    fixture.store.failure = store_failure::None;
+    fixture.listener.hasRelayedView = true;
+    fixture.context.run_for(milliseconds(2000));
+    BOOST_CHECK(fixture.targets.hasDeferredRemovals());
+    fixture.context.run_for(milliseconds(3000));
+    BOOST_CHECK(fixture.targets.find("t1")->isGone);
+}
