--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -24,9 +24,7 @@
 /// Age of a coordinator's list of targets above which it counts as disconnected from the store. It
 /// reads the list three times a second.
 constexpr milliseconds MAX_COORDINATOR_LIST_AGE{900};
-/// Local placement needs a list of targets whose age is well below the targets' drain time. A
-/// request waits a short time while the list is being read.
-constexpr milliseconds MAX_LOCAL_LIST_AGE{1200};
+/// A request waits a short time while the own list, which has become too old, is being read.
 constexpr milliseconds LIST_WAIT{25};
 constexpr std::uint32_t MAX_LIST_WAITS = 12;
 constexpr milliseconds REPORT_RESEND_INTERVAL{70};
@@ -287,7 +285,7 @@
 bool placement_client::waitForList(const pending_pointer &item)
 {
     const bool isListStale =
-            m_targets.isStoreReachable() && m_streamAge(store_stream::Targets) > MAX_LOCAL_LIST_AGE;
+            m_targets.isStoreReachable() && m_streamAge(store_stream::Targets) > MAX_OWN_LIST_AGE;
     if (!isListStale || item->listWaits >= MAX_LIST_WAITS)
         return false;
     ++item->listWaits;
@@ -515,6 +513,7 @@
     message.configuration = m_configuration;
     message.targetListAgeMs = m_streamAge(store_stream::Targets).count();
     message.configurationAgeMs = m_streamAge(store_stream::Configuration).count();
+    message.hasDeferredRemovals = m_targets.hasDeferredRemovals();
     message.storeServedMs = m_targets.storeServedFor(boot_clock::now()).count();
     if (const auto other = m_peers.pickOne(peer))
         message.peer = textOf(*other);
@@ -718,11 +717,12 @@
         requestPlacementLater(item, WAITING_RESEND_INTERVAL);
         return;
     }
-    // The coordinator's list of targets is outdated, so the own one has to be fresh to show whether
-    // the target is leaving.
-    const bool isCoordinatorListStale =
-            milliseconds(message.targetListAgeMs) > MAX_COORDINATOR_LIST_AGE;
-    if (!message.target.empty() && isCoordinatorListStale && waitForList(item)) {
+    // The coordinator's list of targets is outdated or keeps some that have left, so the own one
+    // has to be fresh to show whether the target is leaving.
+    const auto coordinators = coordinatorListQuality(message);
+    const bool isOwnListNeeded = coordinators.age > MAX_COORDINATOR_LIST_AGE
+            || mayListGoneTargets(ownListQuality(), coordinators);
+    if (!message.target.empty() && isOwnListNeeded && waitForList(item)) {
         item->timer.async_wait([this, peer, message](boost::system::error_code error) {
             if (!error)
                 handlePlacement(peer, message);
@@ -745,24 +745,25 @@
         m_onStale(store_stream::Targets);
     finish(decision,
            {{message.targetHost, message.targetPort},
-            (isOwnListPreferred(message) || isBoundByStatement)
+            (isOwnListPreferred(ownListQuality(), coordinators) || isBoundByStatement)
                     && acceptsNoRequests(decision, isKeyed)});
 }
 
-/// @return whether this instance's list of targets counts more than the coordinator's. A
-/// coordinator
-///     that is disconnected from the store may place requests by an outdated list. After its return
-///     it keeps targets whose entries may have lapsed meanwhile; an instance that was connected
-///     knows better.
-bool placement_client::isOwnListPreferred(const place_answer_message &message) const
+list_quality placement_client::ownListQuality() const
+{
+    return {m_streamAge(store_stream::Targets), m_targets.hasDeferredRemovals(),
+            m_targets.isStoreReachable(), false};
+}
+
+/// A coordinator that is disconnected from the store may place requests by an outdated list. After
+/// its return it keeps targets whose entries may have lapsed meanwhile; an instance that was
+/// connected knows better.
+list_quality placement_client::coordinatorListQuality(const place_answer_message &message) const
 {
-    const auto ownAge = m_streamAge(store_stream::Targets);
-    if (ownAge < milliseconds(message.targetListAgeMs))
-        return true;
     const auto outdated = m_listOutdatedAt.find(message.service);
-    const bool isReturning = outdated != m_listOutdatedAt.end()
+    const bool wasOutdated = outdated != m_listOutdatedAt.end()
             && boot_clock::now() < outdated->second + target_directory::REGISTRATION_TIME;
-    return isReturning && m_targets.isStoreReachable() && ownAge <= MAX_LOCAL_LIST_AGE;
+    return {milliseconds(message.targetListAgeMs), message.hasDeferredRemovals, true, wasOutdated};
 }
 
 void placement_client::reportMissing(const service_name &service)
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -6,6 +6,7 @@
 #include "clementinebeam/keyspace/keymap.h"
 #include "internal/coordination.h"
 #include "internal/coordinatorlist.h"
+#include "internal/listpreference.h"
 #include "internal/peerchannel.h"
 #include "internal/peerlist.h"
 #include "internal/relayedview.h"
@@ -162,7 +163,8 @@
     void finish(const dispatch_decision &decision);
     void finish(const dispatch_decision &decision, const placement &where);
     bool hasOwnStatement(const target_id &target) const;
-    bool isOwnListPreferred(const place_answer_message &message) const;
+    list_quality ownListQuality() const;
+    list_quality coordinatorListQuality(const place_answer_message &message) const;
     bool acceptsNoRequests(const dispatch_decision &decision, bool isKeyed) const;
     void reportMissing(const service_name &service);
     void queryPeers(const service_name &service);
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -52,14 +52,15 @@
     std::int64_t configurationAgeMs = 0; ///< Time since `configuration` was last known as newest.
     std::uint8_t rank = 0;               ///< The sender's coordination::coordinator_rank.
     std::string peer; ///< Address of another instance, for the receiver's peer list; may be empty.
-    std::int64_t storeServedMs = 0; ///< See target_directory::storeServedFor().
+    std::int64_t storeServedMs = 0;   ///< See target_directory::storeServedFor().
+    bool hasDeferredRemovals = false; ///< The sender's list keeps targets that may have left.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
                 queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer,
-                storeServedMs);
+                storeServedMs, hasDeferredRemovals);
     }
 };
 
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE storefeeds
 #include "internal/storefeeds.h"
+#include "internal/listpreference.h"
 #include "platform/platformcodec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -244,3 +245,22 @@
     fixture.context.run_for(milliseconds(3000));
     BOOST_CHECK(fixture.targets.find("t1")->isGone);
 }
+
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): an instance
+// that was cut off takes a service over and still lists targets that the others know to be gone.
+BOOST_AUTO_TEST_CASE(own_list_counts_against_a_coordinator_that_defers_removals)
+{
+    const list_quality own{milliseconds(700), false, true, false};
+    const list_quality returned{milliseconds(10), true, true, false};
+    BOOST_CHECK(mayListGoneTargets(own, returned));
+    BOOST_CHECK(isOwnListPreferred(own, returned));
+    const list_quality connected{milliseconds(10), false, true, false};
+    BOOST_CHECK(!mayListGoneTargets(own, connected));
+    BOOST_CHECK(!isOwnListPreferred(own, connected));
+    // The store was down for both, or the own list is old.
+    const list_quality alsoReturned{milliseconds(700), true, true, false};
+    BOOST_CHECK(!isOwnListPreferred(alsoReturned, returned));
+    const list_quality old{milliseconds(5000), false, true, false};
+    BOOST_CHECK(mayListGoneTargets(old, returned));
+    BOOST_CHECK(!isOwnListPreferred(old, returned));
+}
