A read that returns a part of the records does not confirm a stream

Cause, from reading the code: the end of the stream in the store's answer was ignored, so an answer cut at 512 KB counted as the newest state: as the age of the list of targets (DRAIN) and as a confirmation that an instance still coordinates.

Change: such a read confirms nothing and is continued at once.

Measured: partial_reads_confirm_nothing_and_are_continued_at_once fails in two checks (targets) without the change; its check of ownership passes without it as well, so that half is not shown.

--- a/include/clementinebeam/gateway/iclusterstore.h
+++ b/include/clementinebeam/gateway/iclusterstore.h
@@ -38,6 +38,7 @@
     store_failure failure = store_failure::None;
     std::vector<store_record> records;
     std::uint64_t next = 0; ///< Offset of the next record to read.
+    bool isComplete = true; ///< The stream ended at next; otherwise there is more to read.
 };
 
 /// The result of an append.
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -176,11 +176,13 @@
         m_store.readFrom(store_stream::Coordination, m_ownership.next, milliseconds(0), done);
 }
 
-/// Never moves the position back: reads overlap, and their answers may arrive out of order.
+/// Never moves the position back: reads overlap, and their answers may arrive out of order. A read
+/// that returned only a part of the records does not show what the stream holds now.
 void store_feeds::advancePosition(feed &item, const store_batch &batch, instant requestedAt)
 {
     item.next = std::max(item.next, batch.next);
-    item.confirmedAt = std::max(item.confirmedAt, requestedAt);
+    if (batch.isComplete)
+        item.confirmedAt = std::max(item.confirmedAt, requestedAt);
 }
 
 void store_feeds::rereadAfterOutage(instant before)
@@ -349,12 +351,13 @@
         schedule(item, backoff(item));
         return;
     }
+    const bool hasMore = !batch.isComplete && batch.next > item.next;
     advancePosition(item, batch, requestedAt);
     bool isApplied = false;
-    const scope_exit readOn([this, &item, &isApplied] {
+    const scope_exit readOn([this, &item, &isApplied, hasMore] {
         // Records of a batch that was not applied completely are read again.
         item.hasPosition = isApplied;
-        schedule(item, pauseAfter(item));
+        schedule(item, hasMore ? milliseconds(0) : pauseAfter(item));
     });
     item.hasPosition = true;
     apply(item, batch, requestedAt, isSnapshot);
@@ -437,7 +440,10 @@
         else
             log_line(log_level::Error, "ownership_record_unreadable").add("service", record.key);
     }
-    m_listener.onOwnership(records, batch.next, requestedAt);
+    // Records that were not read yet may hold the claim of a successor.
+    const auto confirmedAt =
+            batch.isComplete ? requestedAt : std::min(requestedAt, m_ownership.confirmedAt);
+    m_listener.onOwnership(records, batch.next, confirmedAt);
 }
 
 } // namespace clementinebeam
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -383,6 +383,9 @@
     const auto batch = decodeRead(readBody(9, records), 7);
     BOOST_REQUIRE(batch);
     BOOST_CHECK_EQUAL(batch->next, 9U);
+    BOOST_CHECK(batch->isComplete);
+    // The store returns a limited amount at a time.
+    BOOST_CHECK(!decodeRead(readBody(10, records), 7)->isComplete);
     BOOST_REQUIRE_EQUAL(batch->records.size(), 2U);
     BOOST_CHECK_EQUAL(batch->records[0].key, "config");
     BOOST_CHECK_EQUAL(batch->records[0].value, "{}");
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -37,7 +37,7 @@
                   batch_handler done) override
     {
         ++readCounts[stream];
-        store_batch batch{failure, {}, offset};
+        store_batch batch{failure, {}, hasMore ? offset + 1 : offset, !hasMore};
         if (stream == store_stream::Configuration && wait == milliseconds(0))
             batch.records.push_back({"config", CONFIGURATION, false});
         const bool isRefused = failure != store_failure::None;
@@ -55,6 +55,7 @@
     std::map<store_stream, int> readCounts;
     std::map<store_stream, int> snapshotCounts;
     store_failure failure = store_failure::None;
+    bool hasMore = false; ///< Reads return a part of the records only.
 
 private:
     void callAfter(milliseconds delay, std::function<void()> action)
@@ -75,11 +76,15 @@
         version = configuration.version;
     }
     void onTargetsChanged() override { }
-    void onOwnership(const std::vector<ownership_record> &, std::uint64_t, instant) override { }
+    void onOwnership(const std::vector<ownership_record> &, std::uint64_t, instant at) override
+    {
+        ownershipConfirmedAt = at;
+    }
     bool isCoordinating() const override { return isCoordinator; }
     bool isRelayedViewFresh() const override { return hasRelayedView; }
 
     std::uint64_t version = 0;
+    instant ownershipConfirmedAt{};
     bool isCoordinator = false;
     bool hasRelayedView = false;
 };
@@ -264,3 +269,23 @@
     BOOST_CHECK(mayListGoneTargets(old, returned));
     BOOST_CHECK(!isOwnListPreferred(old, returned));
 }
+
+// Guards against requests at targets that have left (DRAIN) and orders of a coordinator that was
+// replaced: an answer that holds only a part of the records does not show the newest state.
+BOOST_AUTO_TEST_CASE(partial_reads_confirm_nothing_and_are_continued_at_once)
+{
+    feed_fixture fixture;
+    fixture.listener.isCoordinator = true;
+    fixture.feeds.onCoordinationTaken();
+    fixture.context.run_for(milliseconds(1000));
+    BOOST_CHECK(fixture.feeds.age(store_stream::Targets, boot_clock::now()) < milliseconds(500));
+    fixture.store.hasMore = true;
+    const auto before = fixture.store.readCounts[store_stream::Targets];
+    const auto began = boot_clock::now();
+    fixture.feeds.confirmOwnership();
+    fixture.context.run_for(milliseconds(200));
+    BOOST_CHECK(fixture.listener.ownershipConfirmedAt < began);
+    fixture.context.run_for(milliseconds(1000));
+    BOOST_CHECK(fixture.feeds.age(store_stream::Targets, boot_clock::now()) > milliseconds(1150));
+    BOOST_CHECK_GE(fixture.store.readCounts[store_stream::Targets] - before, 10);
+}
