--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -39,8 +39,7 @@
     auto inForce = stated;
     inForce.statement.rateLimit = rateLimit(now);
     if (now < pausedUntil)
-        inForce.statement.pause =
-                std::chrono::duration_cast<milliseconds>(pausedUntil - stated.receivedAt);
+        inForce.statement.pause = std::chrono::ceil<milliseconds>(pausedUntil - stated.receivedAt);
     return inForce;
 }
 
@@ -201,11 +200,33 @@
 {
     if (!isReachable && m_isStoreReachable)
         m_outageStart = since;
-    if (isReachable && !m_isStoreReachable && since >= m_outageStart + m_lapseTime)
+    const bool isOutageEnd =
+            isReachable && !m_isStoreReachable && since >= m_outageStart + m_lapseTime;
+    if (isOutageEnd)
         m_outageEnd = since;
+    if (isReachable && (isOutageEnd || m_servedSince == instant{}))
+        m_servedSince = since;
+    if (isReachable)
+        m_readAt = since;
     m_isStoreReachable = isReachable;
 }
 
+bool target_directory::noteStoreServing(instant since)
+{
+    if (!m_isStoreReachable || since >= m_outageEnd)
+        return false;
+    m_outageEnd = since;
+    // Targets that registered after the last read are not known yet.
+    return advance(m_readAt);
+}
+
+milliseconds target_directory::storeServedFor(instant now) const
+{
+    if (!m_isStoreReachable || m_servedSince == instant{})
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(now - m_servedSince);
+}
+
 bool target_directory::advance(instant now)
 {
     bool hasChanged = false;
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -383,6 +383,9 @@
     const auto batch = decodeRead(readBody(9, records), 7);
     BOOST_REQUIRE(batch);
     BOOST_CHECK_EQUAL(batch->next, 9U);
+    BOOST_CHECK(batch->isComplete);
+    // The store returns a limited amount at a time.
+    BOOST_CHECK(!decodeRead(readBody(10, records), 7)->isComplete);
     BOOST_REQUIRE_EQUAL(batch->records.size(), 2U);
     BOOST_CHECK_EQUAL(batch->records[0].key, "config");
     BOOST_CHECK_EQUAL(batch->records[0].value, "{}");
@@ -527,6 +530,49 @@
     BOOST_CHECK(directory.find("i-1")->isGone);
 }
 
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): an instance
+// that was cut off alone puts no removal off once it hears that the store has served another one.
+BOOST_AUTO_TEST_CASE(removal_after_an_outage_of_this_instance_alone_counts_at_once)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(12);
+    directory.update(entry, START);
+    directory.setStoreReachable(true, START);
+    directory.setStoreReachable(false, START);
+    BOOST_CHECK(directory.storeServedFor(START + seconds(1)) == milliseconds(0));
+    directory.setStoreReachable(true, end);
+    directory.remove("i-1", end);
+    BOOST_CHECK(directory.hasDeferredRemovals());
+    // The other instance may have come back a moment earlier.
+    BOOST_CHECK(!directory.noteStoreServing(end - milliseconds(500)));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    BOOST_CHECK(directory.noteStoreServing(end - milliseconds(2300)));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+    BOOST_CHECK(!directory.hasDeferredRemovals());
+    BOOST_CHECK(directory.storeServedFor(end + seconds(1)) == seconds(1));
+}
+
+// An entry that may have been registered again since the last read is not dropped without another
+// read.
+BOOST_AUTO_TEST_CASE(removal_waits_for_a_read_after_the_registration_time)
+{
+    target_directory directory(seconds(2), milliseconds(870));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    const auto end = START + seconds(12);
+    directory.update(entry, START);
+    directory.setStoreReachable(false, START);
+    BOOST_CHECK(!directory.noteStoreServing(START));
+    directory.setStoreReachable(true, end);
+    directory.remove("i-1", end);
+    BOOST_CHECK(!directory.noteStoreServing(end - seconds(2)));
+    directory.advance(end + milliseconds(100));
+    BOOST_CHECK(!directory.find("i-1")->isGone);
+    directory.setStoreReachable(true, end + milliseconds(900));
+    directory.advance(end + milliseconds(900));
+    BOOST_CHECK(directory.find("i-1")->isGone);
+}
+
 // A write that was read together with the first answer after the outage may be older than it.
 BOOST_AUTO_TEST_CASE(write_read_at_the_end_of_the_outage_proves_nothing)
 {
@@ -553,6 +599,34 @@
     BOOST_CHECK(statement->pause == milliseconds(0));
 }
 
+// Guards against requests that arrive in the last millisecond of a pause, in which a queue that has
+// gathered meanwhile is sent at once (soak seed 262).
+BOOST_AUTO_TEST_CASE(pause_never_ends_before_the_time_that_the_target_named)
+{
+    auto answer = makeOwnAnswer(503);
+    answer.set("Retry-After", "1.263001");
+    auto statement = CODEC.readAnswer(answer).statement.value();
+    BOOST_CHECK(statement.pause == milliseconds(1264));
+    answer.set("Retry-After", "1.263");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->pause == milliseconds(1263));
+    answer.set("Retry-After", "0.000214");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->pause == milliseconds(1));
+    answer.set("Retry-After", "0");
+    BOOST_CHECK(CODEC.readAnswer(answer).statement->empty());
+
+    // What a new coordinator is told counts from a later statement.
+    target_directory directory;
+    target_entry entry;
+    entry.id = "t1";
+    directory.update(entry, START);
+    directory.noteStatement("t1", {statement, START, START});
+    const auto later = START + std::chrono::microseconds(300500);
+    directory.noteStatement("t1", {{}, START, later});
+    const auto &listed = *directory.find("t1");
+    const auto told = listed.statementInForce(later);
+    BOOST_CHECK(told.receivedAt + told.statement.pause >= listed.pausedUntil);
+}
+
 BOOST_AUTO_TEST_CASE(statement_holds_until_a_later_answer_a_restart_or_its_lifetime_ends_it)
 {
     target_directory directory;
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE storefeeds
 #include "internal/storefeeds.h"
+#include "internal/listpreference.h"
 #include "platform/platformcodec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -36,7 +37,7 @@
                   batch_handler done) override
     {
         ++readCounts[stream];
-        store_batch batch{failure, {}, offset};
+        store_batch batch{failure, {}, hasMore ? offset + 1 : offset, !hasMore};
         if (stream == store_stream::Configuration && wait == milliseconds(0))
             batch.records.push_back({"config", CONFIGURATION, false});
         const bool isRefused = failure != store_failure::None;
@@ -54,6 +55,7 @@
     std::map<store_stream, int> readCounts;
     std::map<store_stream, int> snapshotCounts;
     store_failure failure = store_failure::None;
+    bool hasMore = false; ///< Reads return a part of the records only.
 
 private:
     void callAfter(milliseconds delay, std::function<void()> action)
@@ -74,11 +76,15 @@
         version = configuration.version;
     }
     void onTargetsChanged() override { }
-    void onOwnership(const std::vector<ownership_record> &, std::uint64_t, instant) override { }
+    void onOwnership(const std::vector<ownership_record> &, std::uint64_t, instant at) override
+    {
+        ownershipConfirmedAt = at;
+    }
     bool isCoordinating() const override { return isCoordinator; }
     bool isRelayedViewFresh() const override { return hasRelayedView; }
 
     std::uint64_t version = 0;
+    instant ownershipConfirmedAt{};
     bool isCoordinator = false;
     bool hasRelayedView = false;
 };
@@ -224,3 +230,62 @@
     fixture.context.run_for(milliseconds(100));
     BOOST_CHECK_EQUAL(fixture.store.snapshotCounts[store_stream::Coordination], before + 1);
 }
+
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): while a
+// coordinator relays its view, targets are read every 30 s only, but a removal that was put off
+// after an outage counts as soon as the registration time is over.
+BOOST_AUTO_TEST_CASE(deferred_removals_are_read_again_soon)
+{
+    feed_fixture fixture;
+    target_entry entry;
+    entry.id = "t1";
+    fixture.targets.update(entry, boot_clock::now());
+    fixture.store.failure = store_failure::Refused;
+    fixture.feeds.pollTargetsOften();
+    fixture.context.run_for(milliseconds(3200));
+    fixture.store.failure = store_failure::None;
+    fixture.listener.hasRelayedView = true;
+    fixture.context.run_for(milliseconds(2000));
+    BOOST_CHECK(fixture.targets.hasDeferredRemovals());
+    fixture.context.run_for(milliseconds(3000));
+    BOOST_CHECK(fixture.targets.find("t1")->isGone);
+}
+
+// Guards against requests at targets that have left (DRAIN, mach-repair-grown scale-2): an instance
+// that was cut off takes a service over and still lists targets that the others know to be gone.
+BOOST_AUTO_TEST_CASE(own_list_counts_against_a_coordinator_that_defers_removals)
+{
+    const list_quality own{milliseconds(700), false, true, false};
+    const list_quality returned{milliseconds(10), true, true, false};
+    BOOST_CHECK(mayListGoneTargets(own, returned));
+    BOOST_CHECK(isOwnListPreferred(own, returned));
+    const list_quality connected{milliseconds(10), false, true, false};
+    BOOST_CHECK(!mayListGoneTargets(own, connected));
+    BOOST_CHECK(!isOwnListPreferred(own, connected));
+    // The store was down for both, or the own list is old.
+    const list_quality alsoReturned{milliseconds(700), true, true, false};
+    BOOST_CHECK(!isOwnListPreferred(alsoReturned, returned));
+    const list_quality old{milliseconds(5000), false, true, false};
+    BOOST_CHECK(mayListGoneTargets(old, returned));
+    BOOST_CHECK(!isOwnListPreferred(old, returned));
+}
+
+// Guards against requests at targets that have left (DRAIN) and orders of a coordinator that was
+// replaced: an answer that holds only a part of the records does not show the newest state.
+BOOST_AUTO_TEST_CASE(partial_reads_confirm_nothing_and_are_continued_at_once)
+{
+    feed_fixture fixture;
+    fixture.listener.isCoordinator = true;
+    fixture.feeds.onCoordinationTaken();
+    fixture.context.run_for(milliseconds(1000));
+    BOOST_CHECK(fixture.feeds.age(store_stream::Targets, boot_clock::now()) < milliseconds(500));
+    fixture.store.hasMore = true;
+    const auto before = fixture.store.readCounts[store_stream::Targets];
+    const auto began = boot_clock::now();
+    fixture.feeds.confirmOwnership();
+    fixture.context.run_for(milliseconds(200));
+    BOOST_CHECK(fixture.listener.ownershipConfirmedAt < began);
+    fixture.context.run_for(milliseconds(1000));
+    BOOST_CHECK(fixture.feeds.age(store_stream::Targets, boot_clock::now()) > milliseconds(1150));
+    BOOST_CHECK_GE(fixture.store.readCounts[store_stream::Targets] - before, 10);
+}
