Reset orders that are given up, so that they don't arrive later

Cause: a grant or a release that got no answer was given up with an orderly close.

Control connections now end with a reset in all cases: when an order is given up, when the process ends, and, by the kernel, when sent bytes stay unacknowledged for 0.5 s. What reached the target by then is covered by the hold that is awaited from the moment of giving up.

The key model knows orders that wait or are resent, and such that are given up, with and without a reset; grants, releases and those of replaced coordinators.

--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -58,6 +58,13 @@
     /// is noticed. Takes effect if called before the connection is opened.
     void enableKeepAliveProbes() { m_usesKeepAliveProbes = true; }
 
+    /// Makes the connection end with a reset in all cases: in close(), at the end of this process,
+    /// and as soon as sent bytes stay unacknowledged for too long. Bytes that have not reached the
+    /// peer by then are lost; otherwise, the kernel goes on sending them for seconds. Takes effect
+    /// if called before the connection is opened.
+    /// @param limit longest time for which sent bytes may stay unacknowledged.
+    void dropUndeliveredAfter(std::chrono::milliseconds limit) { m_undeliveredLimit = limit; }
+
     /// @param budget limits the memory for answers while they are received; shared with other
     /// connections.
     void setBudget(std::shared_ptr<byte_budget> budget) { m_budget = std::move(budget); }
@@ -108,6 +115,7 @@
     bool m_isCloseRequired = false; ///< Not usable for another exchange; close after this one.
     bool m_isWriting = false;
     bool m_usesKeepAliveProbes = false;
+    std::optional<std::chrono::milliseconds> m_undeliveredLimit;
     bool m_hasSent = false;
     std::size_t m_droppedAnswers = 0;
     std::size_t m_interimAnswers = 0;
--- a/include/clementinebeam/asynchttp/sockets.h
+++ b/include/clementinebeam/asynchttp/sockets.h
@@ -2,6 +2,7 @@
 
 #include "clementinebeam/asynchttp/httpmessages.h"
 
+#include <chrono>
 #include <system_error>
 
 namespace clementinebeam {
@@ -22,6 +23,13 @@
 /// @param socket a connected socket.
 void enableKeepAlive(boost::asio::ip::tcp::socket &socket);
 
+/// Makes a connection end with a reset, however it ends, so that bytes that have not reached the
+/// peer by then are lost.
+/// @param socket a connected socket.
+/// @param limit longest time for which sent bytes may stay unacknowledged; then the connection
+///     ends.
+void dropUndelivered(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit);
+
 /// Closes a socket; errors are ignored, as the caller could not handle them.
 /// @param socket any socket, open or not.
 void closeQuietly(boost::asio::ip::tcp::socket &socket);
--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -85,6 +85,8 @@
     prepareSocket(m_socket);
     if (m_usesKeepAliveProbes)
         enableKeepAlive(m_socket);
+    if (m_undeliveredLimit)
+        dropUndelivered(m_socket, *m_undeliveredLimit);
     m_openedAt = boot_clock::now();
     m_state = state::Idle;
     startRead();
--- a/src/asynchttp/internal/sockets.cpp
+++ b/src/asynchttp/internal/sockets.cpp
@@ -53,6 +53,16 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, KEEP_ALIVE_PROBES);
 }
 
+void dropUndelivered(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit)
+{
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+    // Not set by the library, whose destructor of a socket would revoke it.
+    const linger reset{1, 0};
+    if (::setsockopt(handle, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0)
+        log_line(log_level::Debug, "socket_option_failed").add("option", SO_LINGER);
+}
+
 void closeQuietly(boost::asio::ip::tcp::socket &socket)
 {
     boost::system::error_code ignored;
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -122,6 +122,8 @@
     , m_timer(m_environment.context)
     , m_isAlive(std::make_shared<bool>(true))
 {
+    // An order that was given up must not arrive later: its hold is awaited from then on.
+    m_controlPool.dropUndeliveredAfter(GRANT_TIMEOUT);
     if (isKeyed)
         m_keyCoordinator.emplace(keySettings(bounds), m_record, confirmedAt, boot_clock::now(),
                                  termEndTimes);
--- a/src/gateway/internal/targetconnectionpool.h
+++ b/src/gateway/internal/targetconnectionpool.h
@@ -15,6 +15,10 @@
     /// @param maxAnswerBytes limit for the bytes of all answers that are being received.
     target_connection_pool(boost::asio::io_context &context, std::size_t maxAnswerBytes);
 
+    /// Makes all connections that are opened from now on end with a reset.
+    /// @param limit longest time for which sent bytes may stay unacknowledged.
+    void dropUndeliveredAfter(std::chrono::milliseconds limit) { m_undeliveredLimit = limit; }
+
     /// Takes a connection out of the pool.
     /// @param target the target to connect to.
     /// @return an idle connection, or a new one that connects with its first exchange.
@@ -42,6 +46,7 @@
 
     boost::asio::io_context &m_context;
     std::shared_ptr<byte_budget> m_budget;
+    std::optional<std::chrono::milliseconds> m_undeliveredLimit;
     std::map<target_id, std::vector<idle_connection>> m_idle; ///< Most recently used last.
 };
 
--- a/tests/keymodel/keymodel.cpp
+++ b/tests/keymodel/keymodel.cpp
@@ -1,6 +1,7 @@
 #include "keymodel.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinebeam {
 
@@ -14,6 +15,10 @@
 constexpr std::size_t TARGETS = 4;
 /// An order counts as unanswered after this time.
 constexpr milliseconds ORDER_TIMEOUT{500};
+/// TCP sends again at growing intervals, so that bytes arrive up to this time after a link healed.
+constexpr int LONGEST_RESEND_MS = 3000;
+/// Orders to one target wait for each other for up to this time.
+constexpr int LONGEST_QUEUE_MS = 100;
 constexpr milliseconds READ_INTERVAL{400};
 
 key_number keyOf(std::size_t sample)
@@ -66,11 +71,16 @@
     return m_now >= m_outageUntil && m_now >= m_instances[index].storePartitionedUntil;
 }
 
-bool key_model::canReach(std::size_t index, const target_id &target) const
+instant key_model::healsAt(std::size_t index, const target_id &target) const
 {
     const auto &partitions = m_instances[index].targetPartitionedUntil;
     const auto found = partitions.find(target);
-    return found == partitions.end() || m_now >= found->second;
+    return found == partitions.end() ? instant{} : found->second;
+}
+
+bool key_model::canReach(std::size_t index, const target_id &target) const
+{
+    return m_now >= healsAt(index, target);
 }
 
 std::vector<key_holder> key_model::listedHolders() const
@@ -250,11 +260,8 @@
     });
 }
 
-order_result key_model::applyGrant(model_target &target, const grant_order &order, instant arrival,
-                                   std::uint64_t incarnation)
+order_result key_model::applyGrant(model_target &target, const grant_order &order, instant arrival)
 {
-    if (target.incarnation != incarnation)
-        return order_result::Unanswered; // The process that received the order has ended.
     bool isRefused = false;
     for (std::size_t sample = 0; sample < SAMPLED_KEYS; ++sample) {
         if (order.keys.contains(keyOf(sample)) && target.holds[sample].fence > order.fence)
@@ -285,6 +292,87 @@
     return order_result::Accepted;
 }
 
+order_result key_model::applyRelease(model_target &target, const release_order &order)
+{
+    for (std::size_t sample = 0; sample < SAMPLED_KEYS; ++sample) {
+        auto &hold = target.holds[sample];
+        // A target may apply a release only to the grant with the same token.
+        if (order.keys.contains(keyOf(sample)) && hold.fence == order.fence)
+            hold.until = instant{};
+    }
+    return order_result::Accepted;
+}
+
+/// @return whether there is a connection, on which bytes can be sent even if the link is cut.
+bool key_model::connect(std::size_t index, const model_target &target)
+{
+    auto &link = m_instances[index].connections[target.id];
+    if (link.incarnation == target.incarnation && target.isUp)
+        return true;
+    link = {};
+    if (!target.isUp || !canReach(index, target.id))
+        return false;
+    link = {m_now, target.incarnation};
+    return true;
+}
+
+/// Hands the bytes of an order to the network, on a connection that exists.
+void key_model::transmit(const sent_order_pointer &order, const order_execution &execute,
+                         milliseconds answerTime)
+{
+    auto arrival = m_now + randomDuration(1, 5);
+    if (occurs(m_faults.slowOrders))
+        arrival = m_now + randomDuration(5, 900);
+    const auto healed = healsAt(order->instance, order->target);
+    if (m_now < healed)
+        arrival = healed + randomDuration(1, LONGEST_RESEND_MS);
+    schedule(std::chrono::duration_cast<milliseconds>(arrival - m_now),
+             [=, this] { arrive(order, execute, answerTime); });
+    schedule(ORDER_TIMEOUT, [this, order] { giveUp(order); });
+}
+
+void key_model::arrive(const sent_order_pointer &order, const order_execution &execute,
+                       milliseconds answerTime)
+{
+    if (order->isGivenUp && m_faults.givenUp == given_up_order::Reset)
+        return;
+    m_lateArrivalCount += order->isGivenUp ? 1 : 0;
+    const bool isDelayed = occurs(m_faults.delayedOrders);
+    const bool isAnswerLost = isDelayed || occurs(m_faults.lostAnswers);
+    schedule(isDelayed ? randomDuration(600, 6000) : milliseconds(0), [=, this, arrival = m_now] {
+        auto &receiver = *findTarget(order->target);
+        if (!receiver.isUp || receiver.incarnation != order->incarnation)
+            return; // The process that received the order has ended.
+        const auto outcome = execute(receiver, arrival);
+        if (isAnswerLost)
+            return;
+        schedule(answerTime, [order, outcome] {
+            if (const auto answer = std::exchange(order->answer, nullptr))
+                answer(outcome);
+        });
+    });
+}
+
+/// The kernel gives up what is not acknowledged in time, also while the process is frozen; the
+/// process takes notice later.
+void key_model::giveUp(const sent_order_pointer &order)
+{
+    if (!order->answer)
+        return;
+    auto &instance = m_instances[order->instance];
+    order->isGivenUp = true;
+    auto &link = instance.connections[order->target];
+    if (link.incarnation == order->incarnation)
+        link = {};
+    if (m_now < instance.frozenUntil) {
+        schedule(std::chrono::duration_cast<milliseconds>(instance.frozenUntil - m_now),
+                 [this, order] { giveUp(order); });
+        return;
+    }
+    const auto answer = std::exchange(order->answer, nullptr);
+    answer(order_result::Unanswered);
+}
+
 void key_model::sendGrant(std::size_t index, const grant_order &order)
 {
     const auto term = m_instances[index].term;
@@ -293,35 +381,28 @@
         if (instance.coordinator && instance.term == term)
             instance.coordinator->onGrantResult(order, outcome, m_now);
     };
-    auto *target = findTarget(order.target);
-    if (!target || !target->isUp || !canReach(index, order.target)) {
-        schedule(randomDuration(1, 400), [answer] { answer(order_result::NotSent); });
-        return;
-    }
-    auto &instance = m_instances[index];
-    auto &link = instance.connections[order.target];
-    if (link.incarnation != target->incarnation)
-        link = {m_now, target->incarnation};
-    if (!instance.coordinator->mayGrantOn(link.openedAt)) {
-        schedule(milliseconds(1), [answer] { answer(order_result::Deferred); });
-        return;
-    }
-    const auto transit = randomDuration(1, 5);
-    const auto arrival = m_now + transit;
-    const bool isDelayed = occurs(m_faults.delayedOrders);
-    const bool isAnswerLost = isDelayed || occurs(m_faults.lostAnswers);
-    const auto executionDelay = isDelayed ? randomDuration(600, 6000) : transit;
-    schedule(executionDelay,
-             [this, order, arrival, isAnswerLost, answer, sentIncarnation = target->incarnation] {
-                 auto &receiver = *findTarget(order.target);
-                 if (!receiver.isUp)
-                     return;
-                 const auto outcome = applyGrant(receiver, order, arrival, sentIncarnation);
-                 if (!isAnswerLost)
-                     schedule(randomDuration(1, 5), [answer, outcome] { answer(outcome); });
-             });
-    if (isAnswerLost)
-        schedule(ORDER_TIMEOUT, [answer] { answer(order_result::Unanswered); });
+    const auto queueTime = milliseconds(occurs(m_faults.slowOrders) ? LONGEST_QUEUE_MS : 0);
+    schedule(queueTime, [this, index, term, order, answer] {
+        auto &instance = m_instances[index];
+        const auto *target = findTarget(order.target);
+        if (!target || !connect(index, *target)) {
+            schedule(randomDuration(1, 400), [answer] { answer(order_result::NotSent); });
+            return;
+        }
+        const bool isCurrent = instance.coordinator && instance.term == term;
+        if (!isCurrent || m_now < instance.frozenUntil
+            || !instance.coordinator->mayGrantOn(instance.connections[order.target].openedAt)) {
+            schedule(milliseconds(1), [answer] { answer(order_result::Deferred); });
+            return;
+        }
+        transmit(
+                std::make_shared<sent_order>(
+                        sent_order{index, order.target, target->incarnation, answer}),
+                [this, order](model_target &receiver, instant arrival) {
+                    return applyGrant(receiver, order, arrival);
+                },
+                randomDuration(1, 5));
+    });
 }
 
 void key_model::sendRelease(std::size_t index, const release_order &order)
@@ -332,27 +413,16 @@
         if (instance.coordinator && instance.term == term)
             instance.coordinator->onReleaseResult(order, outcome, "state", m_now);
     };
-    auto *target = findTarget(order.target);
-    if (!target || !target->isUp || !canReach(index, order.target)) {
+    const auto *target = findTarget(order.target);
+    if (!target || !connect(index, *target)) {
         schedule(randomDuration(1, 400), [answer] { answer(order_result::NotSent); });
         return;
     }
-    const bool isAnswerLost = occurs(m_faults.lostAnswers);
-    schedule(randomDuration(1, 5), [this, order, isAnswerLost, answer] {
-        auto &receiver = *findTarget(order.target);
-        if (!receiver.isUp)
-            return;
-        for (std::size_t sample = 0; sample < SAMPLED_KEYS; ++sample) {
-            auto &hold = receiver.holds[sample];
-            // A target may apply a release only to the grant with the same token.
-            if (order.keys.contains(keyOf(sample)) && hold.fence == order.fence)
-                hold.until = instant{};
-        }
-        if (!isAnswerLost)
-            schedule(randomDuration(1, 150), [answer] { answer(order_result::Accepted); });
-    });
-    if (isAnswerLost)
-        schedule(ORDER_TIMEOUT, [answer] { answer(order_result::Unanswered); });
+    transmit(
+            std::make_shared<sent_order>(
+                    sent_order{index, order.target, target->incarnation, answer}),
+            [order](model_target &receiver, instant) { return applyRelease(receiver, order); },
+            randomDuration(1, 150));
 }
 
 void key_model::check()
--- a/tests/keymodel/keymodel.h
+++ b/tests/keymodel/keymodel.h
@@ -13,15 +13,23 @@
 
 namespace clementinebeam {
 
+/// How an instance ends the connection of an order that it gives up.
+enum class given_up_order {
+    Reset,  ///< What has not arrived by then is lost.
+    Closed, ///< What has not arrived by then may still arrive once the link has healed.
+};
+
 /// Rates of injected faults.
 struct model_faults {
     double lostAnswers = 0.03;        ///< Share of orders that are executed but not answered.
     double delayedOrders = 0.02;      ///< Share of orders that are executed seconds later.
+    double slowOrders = 0.02;         ///< Share of orders that wait or are resent for a while.
     double partitionsPerMinute = 6.0; ///< Between an instance and the store or a target.
     double freezesPerMinute = 2.0;    ///< Of instances: the process does not run for a while.
     double restartsPerMinute = 4.0;   ///< Of targets; also the rate at which they leave or return.
     double takeoversPerMinute = 5.0;  ///< By an instance that claims the service.
     double outagesPerMinute = 1.0;    ///< Of the store.
+    given_up_order givenUp = given_up_order::Reset;
 };
 
 /// Simulates several coordinators, targets with different clock rates and a store in virtual time.
@@ -44,6 +52,9 @@
     /// @return the number of grants that targets accepted.
     std::size_t grantCount() const { return m_grantCount; }
 
+    /// @return the number of orders that arrived after they had been given up.
+    std::size_t lateArrivalCount() const { return m_lateArrivalCount; }
+
     /// @return the number of changes of the coordinator.
     std::size_t takeoverCount() const { return m_takeoverCount; }
 
@@ -69,8 +80,22 @@
     /// A connection of an instance to one incarnation of a target.
     struct connection {
         instant openedAt{};
-        std::uint64_t incarnation = 0;
+        std::uint64_t incarnation = 0; ///< Zero if there is no connection.
+    };
+
+    using answer_handler = std::function<void(order_result)>;
+
+    /// An order whose bytes were handed to the network.
+    struct sent_order {
+        std::size_t instance;
+        target_id target;
+        std::uint64_t incarnation; ///< Of the process at the other end of the connection.
+        answer_handler answer;     ///< Empty once the order has ended for its sender.
+        bool isGivenUp = false;
     };
+    using sent_order_pointer = std::shared_ptr<sent_order>;
+    /// Carries an order out at its target, which took it at the given time.
+    using order_execution = std::function<order_result(model_target &, instant)>;
 
     struct model_instance {
         std::unique_ptr<key_coordinator> coordinator;
@@ -106,8 +131,15 @@
     void store(std::size_t index, const ownership_record &record);
     void sendGrant(std::size_t index, const grant_order &order);
     void sendRelease(std::size_t index, const release_order &order);
-    order_result applyGrant(model_target &target, const grant_order &order, instant arrival,
-                            std::uint64_t incarnation);
+    bool connect(std::size_t index, const model_target &target);
+    void transmit(const sent_order_pointer &order, const order_execution &execute,
+                  std::chrono::milliseconds answerTime);
+    void arrive(const sent_order_pointer &order, const order_execution &execute,
+                std::chrono::milliseconds answerTime);
+    void giveUp(const sent_order_pointer &order);
+    order_result applyGrant(model_target &target, const grant_order &order, instant arrival);
+    static order_result applyRelease(model_target &target, const release_order &order);
+    instant healsAt(std::size_t index, const target_id &target) const;
     bool canReach(std::size_t index, const target_id &target) const;
     bool canReachStore(std::size_t index) const;
     model_target *findTarget(const target_id &id);
@@ -130,6 +162,7 @@
     std::string m_violation;
     std::size_t m_grantCount = 0;
     std::size_t m_takeoverCount = 0;
+    std::size_t m_lateArrivalCount = 0;
 };
 
 } // namespace clementinebeam
--- a/tests/keymodel/keymodeltest.cpp
+++ b/tests/keymodel/keymodeltest.cpp
@@ -17,11 +17,12 @@
 }
 
 /// @return the number of seeds whose run shows a violation.
-int countViolations(std::uint64_t seeds, const coordinator_settings &settings)
+int countViolations(std::uint64_t seeds, const coordinator_settings &settings,
+                    const model_faults &faults = {})
 {
     int count = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        count += key_model(seed, {}, settings).run(seconds(60)).empty() ? 0 : 1;
+        count += key_model(seed, faults, settings).run(seconds(60)).empty() ? 0 : 1;
     return count;
 }
 
@@ -56,6 +57,15 @@
     BOOST_CHECK_GT(countViolations(60, settings), 0);
 }
 
+/// A grant or a release that was given up arrives after the link has healed, unless its connection
+/// was reset.
+BOOST_AUTO_TEST_CASE(checker_detects_given_up_orders_that_arrive_later)
+{
+    model_faults faults;
+    faults.givenUp = given_up_order::Closed;
+    BOOST_CHECK_GT(countViolations(60, {}, faults), 0);
+}
+
 BOOST_AUTO_TEST_CASE(checker_detects_a_successor_that_does_not_wait_for_the_authority_to_end)
 {
     // The drift makes successors wait for a tenth of the time for which earlier coordinators may
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -77,6 +77,7 @@
         socket->close();
     }
 
+    std::vector<boost::system::error_code> ends; ///< How connections ended, seen by the server.
     int brokenConnections = 0; ///< Connections that the client ended while the server was writing.
 
 private:
@@ -99,8 +100,10 @@
         socket->async_read_some(boost::asio::buffer(*buffer),
                                 [=, this](boost::system::error_code error, std::size_t) {
                                     (void)buffer;
-                                    if (error)
+                                    if (error) {
+                                        ends.push_back(error);
                                         return;
+                                    }
                                     m_onRead(*this, socket, count);
                                     read(socket, count + 1);
                                 });
@@ -449,3 +452,33 @@
     runEventLoop(context);
     BOOST_CHECK_EQUAL(handled, 2);
 }
+
+// Regression test for review/1: a grant that was given up was still sent by the kernel for seconds,
+// and took keys that another target held by then.
+BOOST_AUTO_TEST_CASE(undelivered_bytes_are_dropped_however_a_connection_ends)
+{
+    for (const bool isClosed : {true, false}) {
+        client_fixture fixture;
+        int calls = 0;
+        scripted_server server(
+                fixture.context,
+                [&](scripted_server &, const std::shared_ptr<tcp::socket> &, int) { ++calls; });
+        const auto connection = fixture.connect();
+        connection->dropUndeliveredAfter(milliseconds(500));
+        tcp::socket socket(fixture.context);
+        if (isClosed) {
+            fixture.exchange(connection, "1");
+        } else {
+            socket.connect(local());
+            dropUndelivered(socket, milliseconds(500));
+            boost::asio::write(socket, boost::asio::buffer("GET", 3));
+        }
+        fixture.runUntil([&] { return calls == 1; });
+        connection->close();
+        { // As at the end of a process, nothing closes this socket in an orderly way.
+            const auto dropped = std::move(socket);
+        }
+        fixture.runUntil([&] { return !server.ends.empty(); });
+        BOOST_CHECK_EQUAL(server.ends.front(), boost::asio::error::connection_reset);
+    }
+}
--- a/tests/platform/gatewaytest.cpp
+++ b/tests/platform/gatewaytest.cpp
@@ -272,6 +272,37 @@
     runUntil([&] { return keyed.grants() > before; });
 }
 
+// Regression test for review/1: a grant that was given up reached its target seconds later, when
+// another one held its keys.
+BOOST_FIXTURE_TEST_CASE(grant_that_is_given_up_ends_with_a_reset, gateway_fixture)
+{
+    boost::asio::ip::tcp::acceptor acceptor(context, local(TARGET_PORT + 3));
+    std::vector<boost::asio::ip::tcp::socket> silent;
+    std::string received;
+    boost::system::error_code end;
+    std::array<char, 4096> buffer{};
+    const std::function<void()> read = [&] {
+        silent.front().async_read_some(boost::asio::buffer(buffer),
+                                       [&](boost::system::error_code error, std::size_t size) {
+                                           received.append(buffer.data(), size);
+                                           if (error)
+                                               end = error;
+                                           else
+                                               read();
+                                       });
+    };
+    acceptor.async_accept([&](boost::system::error_code error, auto socket) {
+        BOOST_REQUIRE(!error);
+        silent.push_back(std::move(socket));
+        read();
+    });
+    store.put("keyed.servers", "k1", entryText(TARGET_PORT + 2, "keyed", "draining"));
+    store.put("keyed.servers", "k2", entryText(TARGET_PORT + 3, "keyed", "ready"));
+    runUntil([&] { return end.failed(); });
+    BOOST_CHECK(received.find("/grant") != std::string::npos);
+    BOOST_CHECK_EQUAL(end, boost::asio::error::connection_reset);
+}
+
 BOOST_FIXTURE_TEST_CASE(stop_completes_the_request_in_progress, gateway_fixture)
 {
     std::shared_ptr<server_connection> heldConnection;
