End holds before the authority by the longest delivery of a grant

Cause: a hold counts from the arrival of its grant, which may be 0.6 s after the issue (0.1 s in the queue, 0.5 s until it is given up and reset). It could outlast the authority of a replaced coordinator by as much, while a successor that can't reach the target allows 0.35 s.

Change: holds end 0.6 s before the authority. The checker of the key model with an authority of 1 s sets the allowance to zero, as it would leave no hold; it still demands a violation.

--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -22,6 +22,9 @@
     /// the store last confirmed that it is the newest. Must be equal for all coordinators, as
     /// each derives the end of its predecessors' holds from its own value.
     std::chrono::milliseconds authorityDuration{10000};
+    /// Longest time from the issue of a grant to its arrival; later, its bytes are lost. Holds run
+    /// from the arrival and end within the authority.
+    std::chrono::milliseconds longestDelivery{600};
     std::chrono::milliseconds planInterval{250}; ///< Time between two rounds of planning.
     /// Delay before a release is repeated to a target that can't be reached.
     std::chrono::milliseconds unreachableInterval{1000};
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -62,6 +62,7 @@
 {
     coordinator_settings settings;
     settings.hold = std::min(settings.hold, bounds.maxHoldTime);
+    settings.longestDelivery = MAX_GRANT_DELAY + GRANT_TIMEOUT;
     return settings;
 }
 
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -73,7 +73,7 @@
 
 milliseconds key_coordinator::holdTime(instant now) const
 {
-    return std::min(m_settings.hold, remainingAuthority(now));
+    return std::min(m_settings.hold, remainingAuthority(now) - m_settings.longestDelivery);
 }
 
 void key_coordinator::onGrantResult(const grant_order &order, order_result result, instant now)
--- a/tests/keymodel/keymodeltest.cpp
+++ b/tests/keymodel/keymodeltest.cpp
@@ -79,6 +79,8 @@
             result.authorityDuration = milliseconds(1000);
             result.hold = milliseconds(900);
             result.renewInterval = milliseconds(300);
+            // Of the shortened authority, the allowance for late grants would leave no hold.
+            result.longestDelivery = milliseconds(0);
             result.clockDrift = -0.9;
             result.transmissionMargin = milliseconds(0);
             return result;
