--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -62,6 +62,7 @@
 {
     coordinator_settings settings;
     settings.hold = std::min(settings.hold, bounds.maxHoldTime);
+    settings.longestDelivery = MAX_GRANT_DELAY + GRANT_TIMEOUT;
     return settings;
 }
 
@@ -122,6 +123,8 @@
     , m_timer(m_environment.context)
     , m_isAlive(std::make_shared<bool>(true))
 {
+    // An order that was given up must not arrive later: its hold is awaited from then on.
+    m_controlPool.dropUndeliveredAfter(GRANT_TIMEOUT);
     if (isKeyed)
         m_keyCoordinator.emplace(keySettings(bounds), m_record, confirmedAt, boot_clock::now(),
                                  termEndTimes);
