Evacuate data centres that operators name in the store

Change: store_feeds passes such records on from the stream of the configuration. evacuation_view keeps the set with the offset that it was read at, so that of two states the newer one counts; coordinators' answers carry it, and whoever knows a newer one tells the sender. Targets there count as leaving; an instance that knows binds itself whatever the coordinator says. Gauges and log lines tell how far each service is.

--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -75,6 +75,13 @@
     /// @return whether the request is in the queue.
     bool isWaiting(request_token token) const { return m_waiting.contains(token); }
 
+    /// @return the number of requests that run at a target.
+    std::size_t runningAt(const target_id &target) const
+    {
+        const auto found = m_targets.find(target);
+        return found == m_targets.end() ? 0 : found->second.running.size();
+    }
+
     /// @return the length of the queue.
     std::size_t waitingCount() const { return m_waiting.size(); }
     /// @return the number of dispatched requests that have not ended, including those that wait at
--- a/include/clementinebeam/gateway/imessageformat.h
+++ b/include/clementinebeam/gateway/imessageformat.h
@@ -44,6 +44,11 @@
     /// @return the configuration, or BadMessage if it can't be decoded.
     virtual result<routing_configuration> readConfiguration(const std::string &bytes) const = 0;
 
+    /// Tells whether a record of the configuration stream evacuates a data centre.
+    /// @param recordKey the record's key.
+    /// @return the data centre, or nothing if the record is of another kind.
+    virtual std::optional<std::string> readEvacuation(const std::string &recordKey) const = 0;
+
     /// Decodes a record of the target stream.
     /// @param id the record's key.
     /// @param bytes the record's value.
--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -33,7 +33,16 @@
         instant pausedUntil{};     ///< It asked for no requests until then.
         instant writtenAt{};       ///< When a new write of its entry was last read.
 
-        bool isLeaving() const { return isGone || entry.isDraining || stated.statement.isLeaving; }
+        bool isEvacuated = false; ///< Operators evacuate its data centre.
+        instant evacuatedUntil{}; ///< Until then, it may get requests for keys that it owns.
+
+        /// @return whether its process is ending or has ended.
+        bool isShuttingDown() const
+        {
+            return isGone || entry.isDraining || stated.statement.isLeaving;
+        }
+
+        bool isLeaving() const { return isShuttingDown() || isEvacuated; }
 
         /// @return until when a leaving target may get requests for keys that it owns, while the
         /// keys are moved; instant::max() if it is not leaving.
@@ -91,6 +100,11 @@
     /// @return whether what is known of the target has changed.
     bool noteStatement(const target_id &id, const received_statement &received);
 
+    /// Sets which data centres are evacuated.
+    /// @param ownerUntil for each of them, until when its targets may get requests for keys that
+    ///     they own, while the keys are moved.
+    void setEvacuated(std::map<std::string, instant> ownerUntil);
+
     /// Replaces all entries by a complete list: updates those in it and removes the others.
     void replaceAll(const std::vector<target_entry> &entries, instant now);
 
@@ -120,11 +134,13 @@
     bool mayHaveLapsed(const listed_target &target, instant now) const;
     void markGone(listed_target &target, instant now);
     static void updateLeaving(listed_target &target, instant now);
+    void updateEvacuated(listed_target &target) const;
     static bool updateStatement(listed_target &target, const received_statement &received);
 
     const std::chrono::milliseconds m_ownerGraceTime;
     const std::chrono::milliseconds m_lapseTime; ///< Shortest outage in which live entries lapse.
     target_map m_targets;
+    std::map<std::string, instant> m_evacuated; ///< See setEvacuated().
     std::map<target_id, instant> m_pendingRemovals;
     bool m_isStoreReachable = true;
     instant m_outageStart{}; ///< Of the present outage or the last one.
--- a/include/clementinebeam/keyspace/keycoordinator.h
+++ b/include/clementinebeam/keyspace/keycoordinator.h
@@ -192,6 +192,7 @@
     void fenceBeforeRelease(owned_range &range);
     void markReleasing(const range_move &move);
     void releaseLeaving(instant now);
+    void evacuate(instant now);
     void reassignRestarted();
     void unassignExpired(instant now);
     void plan(instant now);
@@ -226,6 +227,7 @@
     instant m_authorityConfirmedAt;
     std::optional<instant> m_supersededAt; ///< First refusal that the store has not refuted.
     instant m_nextPlan{};
+    instant m_nextEvacuation{};
     bool m_isStoreReachable = true;
     bool m_isStoring = false;
     instant m_storingSince{}; ///< When the store call that has not ended was requested.
--- a/include/clementinebeam/keyspace/keyspacetypes.h
+++ b/include/clementinebeam/keyspace/keyspacetypes.h
@@ -83,7 +83,10 @@
     target_id id;
     std::uint64_t incarnation = 0;
     double capacity = 1.0;  ///< Requests that it can run per second.
-    bool isLeaving = false; ///< It drains, or it is no longer listed.
+    bool isLeaving = false; ///< It drains, is evacuated, or is no longer listed.
+    /// Its data centre is evacuated, and until then its keys are to be moved in steps. All at once
+    /// if it is leaving for another reason.
+    std::optional<instant> evacuateBy{};
 };
 
 /// Grants a range to a target, or renews it.
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -143,6 +143,8 @@
         if (entry.service != m_name)
             continue;
         holders.push_back({id, entry.incarnation, 0.0, listed.isLeaving()});
+        if (listed.isEvacuated && !listed.isShuttingDown())
+            holders.back().evacuateBy = listed.evacuatedUntil;
         if (m_keyCoordinator || !listed.isLeaving())
             targets.push_back(listed.toDispatchTarget(now));
     }
@@ -154,6 +156,31 @@
     advanceAll();
 }
 
+std::vector<evacuation_remainder> coordinated_service::evacuationRemainders() const
+{
+    std::map<std::string, evacuation_remainder> remainders;
+    for (const auto &[id, listed] : m_environment.targets.targets()) {
+        if (listed.entry.service != m_name || !listed.isEvacuated)
+            continue;
+        const auto &dataCentre = listed.entry.dataCentre;
+        auto &remainder = remainders[dataCentre];
+        remainder.service = m_name;
+        remainder.dataCentre = dataCentre;
+        remainder.requests += m_dispatcher.runningAt(id);
+    }
+    if (m_keyCoordinator && !remainders.empty()) {
+        for (const auto &range : m_keyCoordinator->record().ranges) {
+            const auto *listed = m_environment.targets.find(range.target);
+            if (listed && listed->isEvacuated)
+                remainders[listed->entry.dataCentre].keys += range.keys.size();
+        }
+    }
+    std::vector<evacuation_remainder> result;
+    for (auto &[dataCentre, remainder] : remainders)
+        result.push_back(std::move(remainder));
+    return result;
+}
+
 void coordinated_service::enqueue(const dispatch_request &request)
 {
     if (m_keyCoordinator && request.key && !request.isRetry)
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/dispatch/servicedispatcher.h"
+#include "clementinebeam/evacuation/evacuationprogress.h"
 #include "clementinebeam/gateway/imessageformat.h"
 #include "clementinebeam/gateway/targetdirectory.h"
 #include "clementinebeam/keyspace/keycoordinator.h"
@@ -67,6 +68,9 @@
     }
     bool isWaiting(request_token token) const { return m_dispatcher.isWaiting(token); }
 
+    /// @return what the service still has in each evacuated data centre in which it has targets.
+    std::vector<evacuation_remainder> evacuationRemainders() const;
+
     /// Passes the present targets of the directory on to the dispatcher and the key coordinator.
     void updateTargets();
 
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -140,6 +140,16 @@
     updateClaims();
 }
 
+std::vector<evacuation_remainder> coordination::evacuationRemainders() const
+{
+    std::vector<evacuation_remainder> result;
+    for (const auto &[name, service] : m_coordinated) {
+        const auto remainders = service->evacuationRemainders();
+        result.insert(result.end(), remainders.begin(), remainders.end());
+    }
+    return result;
+}
+
 void coordination::restartStalledServices()
 {
     std::vector<service_name> stalled;
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -75,6 +75,9 @@
                      instant requestedAt);
     void setStoreReachable(bool isReachable);
 
+    /// @return what the services that are coordinated here still have in evacuated data centres.
+    std::vector<evacuation_remainder> evacuationRemainders() const;
+
     /// Gives up services that make no steps, so that they are claimed anew, here or by another
     /// instance. To be called regularly.
     void restartStalledServices();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -25,6 +25,10 @@
 /// Time for the last answers to be sent.
 constexpr milliseconds LAST_ANSWER_TIME{100};
 constexpr milliseconds NOT_READY_RETRY_AFTER{300};
+/// Part of the time that an evacuation may take in which evacuated targets still get requests for
+/// keys that they own, until these are moved. The rest covers the delay until an instance knows of
+/// the evacuation.
+constexpr int OWNER_GRACE_PERCENT = 20;
 /// Answers that are being received from targets may take up to 1/4 of the memory limit.
 constexpr std::size_t ANSWER_MEMORY_DIVISOR = 4;
 
@@ -78,6 +82,12 @@
 {
     m_placement.setCoordination(&m_coordination);
     m_placement.setStalenessHandler([this](store_stream stream) { onStreamStale(stream); });
+    m_placement.setEvacuations(
+            m_evacuations,
+            [this](std::uint64_t version, const std::vector<evacuation_note> &evacuations) {
+                if (m_evacuations.merge(version, evacuations, boot_clock::now()))
+                    applyEvacuations();
+            });
     m_placement.setStreamAge(
             [this](store_stream stream) { return m_feeds.age(stream, boot_clock::now()); });
 }
@@ -150,6 +160,7 @@
     m_coordination.restartStalledServices();
     m_coordination.updateCandidacy();
     m_placement.refreshRelayedView();
+    reportEvacuations(now);
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         log_line(log_level::Info, "readiness_changed")
@@ -254,6 +265,51 @@
         m_feeds.refresh(stream);
 }
 
+void gateway::onEvacuations(const std::vector<evacuation_change> &changes, std::uint64_t version,
+                            bool isComplete)
+{
+    if (m_evacuations.apply(changes, version, isComplete, boot_clock::now()))
+        applyEvacuations();
+}
+
+void gateway::applyEvacuations()
+{
+    const auto &evacuated = m_evacuations.evacuated();
+    for (const auto &[dataCentre, since] : evacuated) {
+        if (!m_reportedEvacuations.contains(dataCentre))
+            log_line(log_level::Info, "evacuation_begun")
+                    .add("data_centre", dataCentre)
+                    .add("version", m_evacuations.version());
+    }
+    for (const auto &[dataCentre, since] : m_reportedEvacuations) {
+        if (!evacuated.contains(dataCentre))
+            log_line(log_level::Info, "evacuation_ended")
+                    .add("data_centre", dataCentre)
+                    .add("version", m_evacuations.version());
+    }
+    m_reportedEvacuations = evacuated;
+    std::map<std::string, instant> ownerUntil;
+    for (const auto &[dataCentre, since] : m_evacuations.evacuated())
+        ownerUntil.emplace(dataCentre,
+                           since + m_settings.bounds.evacuation * OWNER_GRACE_PERCENT / 100);
+    m_targets.setEvacuated(std::move(ownerUntil));
+    onTargetsChanged();
+}
+
+void gateway::reportEvacuations(instant now)
+{
+    const auto &evacuated = m_evacuations.evacuated();
+    const auto remainders = m_coordination.evacuationRemainders();
+    m_metrics.setEvacuations(evacuated, remainders);
+    for (const auto &item : m_evacuationProgress.update(evacuated, remainders))
+        log_line(log_level::Info, "evacuation_service_done")
+                .add("data_centre", item.dataCentre)
+                .add("service", item.service)
+                .add("known_for_ms",
+                     std::chrono::duration_cast<milliseconds>(now - evacuated.at(item.dataCentre))
+                             .count());
+}
+
 void gateway::onTargetsChanged()
 {
     m_placement.updateTargets();
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -57,6 +57,8 @@
     const server_limits &limits() const override;
 
     void onConfiguration(routing_configuration configuration) override;
+    void onEvacuations(const std::vector<evacuation_change> &changes, std::uint64_t version,
+                       bool isComplete) override;
     void onTargetsChanged() override;
     void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
                      instant requestedAt) override;
@@ -68,6 +70,8 @@
     static constexpr std::chrono::milliseconds STOP_MARGIN{400};
 
     bool isReady() const;
+    void applyEvacuations();
+    void reportEvacuations(instant now);
     void onStreamStale(store_stream stream);
     void scheduleMaintenance();
     void runMaintenance();
@@ -84,6 +88,9 @@
     const i_message_format &m_format;
     gateway_metrics m_metrics;
     target_directory m_targets;
+    evacuation_view m_evacuations;
+    evacuation_progress m_evacuationProgress;
+    evacuation_view::evacuation_map m_reportedEvacuations;
     target_connection_pool m_pool;
     request_quarantine m_quarantine;
     peer_channel m_channel;
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -76,6 +76,15 @@
                     "Time since the store last confirmed an input", m_registry))
     , m_keys(family(prometheus::BuildGauge(), "clementinebeam_gateway_keys",
                     "Keys of the services coordinated here, by state", m_registry))
+    , m_evacuated(family(prometheus::BuildGauge(), "clementinebeam_gateway_evacuated",
+                         "1 for each evacuated data centre", m_registry))
+    , m_evacuationKeys(family(prometheus::BuildGauge(), "clementinebeam_gateway_evacuation_keys",
+                              "Keys of the services coordinated here in evacuated data centres",
+                              m_registry))
+    , m_evacuationRequests(
+              family(prometheus::BuildGauge(), "clementinebeam_gateway_evacuation_requests",
+                     "Running requests of the services coordinated here in evacuated data centres",
+                     m_registry))
     , m_version(family(prometheus::BuildGauge(), "clementinebeam_gateway_configuration_version",
                        "Configuration version in force", m_registry)
                         .Add({}))
@@ -150,6 +159,27 @@
     m_targets.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setEvacuations(const evacuation_view::evacuation_map &evacuated,
+                                     const std::vector<evacuation_remainder> &remainders)
+{
+    for (const auto &[gauges, gauge] : m_evacuationGauges)
+        gauges->Remove(gauge);
+    m_evacuationGauges.clear();
+    const auto set = [this](auto &gauges, const prometheus::Labels &labels, std::size_t value) {
+        auto &gauge = gauges.Add(labels);
+        gauge.Set(static_cast<double>(value));
+        m_evacuationGauges.emplace_back(&gauges, &gauge);
+    };
+    for (const auto &[dataCentre, since] : evacuated)
+        set(m_evacuated, {{"data_centre", dataCentre}}, 1);
+    for (const auto &item : remainders) {
+        const prometheus::Labels labels{{"data_centre", item.dataCentre},
+                                        {"service", item.service}};
+        set(m_evacuationKeys, labels, item.keys);
+        set(m_evacuationRequests, labels, item.requests);
+    }
+}
+
 void gateway_metrics::setKeys(std::string_view service, std::size_t served, std::size_t unserved)
 {
     const std::string name(service);
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/dispatch/dispatchtypes.h"
+#include "clementinebeam/evacuation/evacuationprogress.h"
 
 #include <map>
 #include <prometheus/counter.h>
@@ -66,6 +67,11 @@
     /// @param count number of known targets.
     void setTargets(std::size_t count);
 
+    /// Sets which data centres are evacuated, and what the services that this instance coordinates
+    /// still have there.
+    void setEvacuations(const evacuation_view::evacuation_map &evacuated,
+                        const std::vector<evacuation_remainder> &remainders);
+
     /// Sets the numbers of keys with and without a target that serves them, for a service that this
     /// instance coordinates.
     void setKeys(std::string_view service, std::size_t served, std::size_t unserved);
@@ -85,6 +91,11 @@
     prometheus::Counter &m_incompleteRows;
     prometheus::Family<prometheus::Gauge> &m_ages;
     prometheus::Family<prometheus::Gauge> &m_keys;
+    prometheus::Family<prometheus::Gauge> &m_evacuated;
+    prometheus::Family<prometheus::Gauge> &m_evacuationKeys;
+    prometheus::Family<prometheus::Gauge> &m_evacuationRequests;
+    std::vector<std::pair<prometheus::Family<prometheus::Gauge> *, prometheus::Gauge *>>
+            m_evacuationGauges; ///< Those that the last setEvacuations() added.
     prometheus::Gauge &m_version;
     prometheus::Gauge &m_targets;
     prometheus::Gauge &m_droppedLines;
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -53,6 +53,8 @@
 constexpr milliseconds LOCAL_PLACEMENT_PAUSE{1000};
 /// Instances that each instance tells of a request that crashes its targets.
 constexpr std::size_t NOTIFIED_PEERS = 8;
+/// Other instances whose messages show an older state of evacuations are told this often.
+constexpr milliseconds EVACUATION_NOTICE_INTERVAL{20};
 
 std::optional<udp_endpoint> parsePeer(const std::string &text)
 {
@@ -518,6 +520,7 @@
     if (const auto other = m_peers.pickOne(peer))
         message.peer = textOf(*other);
     message.rank = static_cast<std::uint8_t>(m_coordination->rank());
+    message.evacuations = evacuations();
     if (const auto *listed = m_targets.find(message.target)) {
         message.targetHost = listed->entry.address.host;
         message.targetPort = listed->entry.address.port;
@@ -550,6 +553,49 @@
         handleCrashNotice(peer, *notice);
     else if (const auto *statements = std::get_if<target_statements_message>(&message))
         handleStatements(*statements);
+    else if (const auto *evacuations = std::get_if<evacuations_message>(&message))
+        handleEvacuations(peer, *evacuations);
+}
+
+evacuations_message placement_client::evacuations() const
+{
+    evacuations_message message;
+    if (!m_evacuations)
+        return message;
+    message.version = m_evacuations->version();
+    for (const auto &item : m_evacuations->notes(boot_clock::now()))
+        message.dataCentres.push_back({item.dataCentre, item.age.count()});
+    return message;
+}
+
+/// Takes over a newer state of the evacuations, and tells its sender of the own one if that is
+/// newer: the sender may be disconnected from the store.
+void placement_client::handleEvacuations(const udp_endpoint &peer,
+                                         const evacuations_message &message)
+{
+    if (!m_evacuations || message.version == m_evacuations->version())
+        return;
+    const auto now = boot_clock::now();
+    if (message.version > m_evacuations->version()) {
+        std::vector<evacuation_note> notes;
+        for (const auto &item : message.dataCentres)
+            notes.push_back({item.name, milliseconds(item.ageMs)});
+        m_onEvacuations(message.version, notes);
+    } else if (now >= m_evacuationsToldAt + EVACUATION_NOTICE_INTERVAL) {
+        m_evacuationsToldAt = now;
+        m_channel.send(peer, evacuations());
+    }
+}
+
+/// @return whether this instance knows of an evacuation of the target's data centre. That binds it
+///     even if the coordinator, which may not know yet, places requests there. While such a
+///     coordinator uses targets that are not listed here, their data centre is unknown.
+bool placement_client::isEvacuatedByOwnView(const place_answer_message &message) const
+{
+    if (const auto *listed = m_targets.find(message.target))
+        return listed->isEvacuated;
+    return m_evacuations && !m_evacuations->evacuated().empty()
+            && message.evacuations.version < m_evacuations->version();
 }
 
 void placement_client::noteStatement(const target_entry &target, const target_statement &statement,
@@ -693,6 +739,7 @@
 {
     m_silentUntil.erase(message.service);
     checkConfigurationVersion(message.configuration);
+    handleEvacuations(peer, message.evacuations);
     notePeer(message.peer);
     noteCoordinatorView(message);
     const auto found = m_pending.find(message.token);
@@ -742,10 +789,13 @@
     // The coordinator may know better that the target has started again.
     if (isBoundByStatement)
         m_onStale(store_stream::Targets);
+    const bool isEvacuated = isEvacuatedByOwnView(message);
+    const bool isUnlisted = isEvacuated && !m_targets.find(decision.target);
     finish(decision,
            {{message.targetHost, message.targetPort},
-            (isOwnListPreferred(message) || isBoundByStatement)
-                    && acceptsNoRequests(decision, isKeyed)});
+            isUnlisted
+                    || ((isOwnListPreferred(message) || isBoundByStatement || isEvacuated)
+                        && acceptsNoRequests(decision, isKeyed))});
 }
 
 /// @return whether this instance's list of targets counts more than the coordinator's. A
@@ -803,7 +853,7 @@
 void placement_client::sendNotCoordinator(const udp_endpoint &peer, const service_name &service,
                                           request_token token)
 {
-    not_coordinator_message answer{service, token, 0, {}};
+    not_coordinator_message answer{service, token, 0, {}, evacuations()};
     if (const auto known = m_coordinators.find(service)) {
         answer.term = known->term;
         answer.coordinator = textOf(known->peer);
@@ -814,6 +864,7 @@
 void placement_client::handleNotCoordinator(const udp_endpoint &peer,
                                             const not_coordinator_message &message)
 {
+    handleEvacuations(peer, message.evacuations);
     const auto reported = parsePeer(message.coordinator);
     if (reported && m_coordinators.note(message.service, {message.term, *reported})) {
         log_line(log_level::Info, "coordinator_told")
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/dispatch/servicedispatcher.h"
+#include "clementinebeam/evacuation/evacuationview.h"
 #include "clementinebeam/gateway/targetdirectory.h"
 #include "clementinebeam/kernel/randomsource.h"
 #include "clementinebeam/keyspace/keymap.h"
@@ -58,6 +59,18 @@
 
     void setStreamAge(stream_age age) { m_streamAge = std::move(age); }
 
+    /// Called when another instance told which data centres are evacuated.
+    using evacuation_handler =
+            std::function<void(std::uint64_t version, const std::vector<evacuation_note> &)>;
+
+    /// @param view what this instance knows of evacuations; must outlive the client.
+    /// @param handler updates the view.
+    void setEvacuations(const evacuation_view &view, evacuation_handler handler)
+    {
+        m_evacuations = &view;
+        m_onEvacuations = std::move(handler);
+    }
+
     /// Sets the version of the configuration that is in force here.
     void setConfigurationVersion(std::uint64_t version) { m_configuration = version; }
 
@@ -185,6 +198,9 @@
     void handleEnded(const udp_endpoint &peer, const ended_message &message);
     void handleEndedAck(const ended_ack_message &message);
     void handleStatements(const target_statements_message &message);
+    void handleEvacuations(const udp_endpoint &peer, const evacuations_message &message);
+    evacuations_message evacuations() const;
+    bool isEvacuatedByOwnView(const place_answer_message &message) const;
     void onStatementsChanged(const service_name &service);
     void tellStatements(const service_name &service);
     void updateLimits(const service_name &service);
@@ -199,6 +215,10 @@
     staleness_handler m_onStale;
     stream_age m_streamAge;
     std::uint64_t m_configuration = 0;
+    const evacuation_view *m_evacuations = nullptr;
+    evacuation_handler m_onEvacuations;
+    /// When another instance was last told of evacuations.
+    instant m_evacuationsToldAt{};
     coordinator_list m_coordinators;
     peer_list m_peers;
     relayed_view m_relayedView;
--- a/src/gateway/internal/placementmessages.cpp
+++ b/src/gateway/internal/placementmessages.cpp
@@ -40,6 +40,15 @@
     return value >= 0 && value <= static_cast<std::int32_t>(error_kind::Internal);
 }
 
+bool isValid(const evacuations_message &message)
+{
+    return std::all_of(message.dataCentres.begin(), message.dataCentres.end(),
+                       [](const auto &item) {
+                           return !item.name.empty() && isPlainText(item.name)
+                                   && isAge<milliseconds>(item.ageMs);
+                       });
+}
+
 bool isValid(const place_request_message &message)
 {
     return isPlainText(message.service) && isPlainText(message.dataCentre)
@@ -57,7 +66,7 @@
             && isReason(message.reason) && isTime<milliseconds>(message.retryAfterMs)
             && isTime<microseconds>(message.waitedUs)
             && isAge<milliseconds>(message.targetListAgeMs)
-            && isAge<milliseconds>(message.configurationAgeMs);
+            && isAge<milliseconds>(message.configurationAgeMs) && isValid(message.evacuations);
 }
 
 bool isValid(const ended_message &message)
@@ -73,7 +82,7 @@
 
 bool isValid(const not_coordinator_message &message)
 {
-    return isPlainText(message.service);
+    return isPlainText(message.service) && isValid(message.evacuations);
 }
 
 bool isValid(const coordinator_query_message &message)
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -10,6 +10,31 @@
 
 namespace clementinebeam {
 
+/// One data centre that the sender knows as evacuated.
+struct evacuated_data_centre {
+    std::string name;
+    std::int64_t ageMs = 0; ///< Time since the sender first knew of the evacuation.
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(name, ageMs);
+    }
+};
+
+/// All evacuations that the sender knows, see evacuation_view. Part of other messages, and alone
+/// for an instance that has told an older state.
+struct evacuations_message {
+    std::uint64_t version = 0;
+    std::vector<evacuated_data_centre> dataCentres;
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(version, dataCentres);
+    }
+};
+
 /// Asks the coordinator of a service to place a request on a target. Times are relative to the
 /// sending of the message, as clocks of instances differ.
 struct place_request_message {
@@ -52,12 +77,14 @@
     std::int64_t configurationAgeMs = 0; ///< Time since `configuration` was last known as newest.
     std::uint8_t rank = 0;               ///< The sender's coordination::coordinator_rank.
     std::string peer; ///< Address of another instance, for the receiver's peer list; may be empty.
+    evacuations_message evacuations{};
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
-                queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer);
+                queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer,
+                evacuations);
     }
 };
 
@@ -80,11 +107,12 @@
     request_token token = 0;
     std::uint64_t term = 0;  ///< The known coordinator's term; 0 if none is known.
     std::string coordinator; ///< The known coordinator's address.
+    evacuations_message evacuations{};
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
-        archive(service, token, term, coordinator);
+        archive(service, token, term, coordinator, evacuations);
     }
 };
 
@@ -176,7 +204,7 @@
 using peer_message =
         std::variant<place_request_message, place_answer_message, ended_message, ended_ack_message,
                      not_coordinator_message, coordinator_query_message, crash_notice_message,
-                     target_statements_message>;
+                     target_statements_message, evacuations_message>;
 
 /// Decodes a message of another instance. All that it names is checked here: texts are plain,
 /// addresses and numbers in range, so that they can be used and passed on as they are.
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -362,6 +362,7 @@
 {
     switch (item.stream) {
     case store_stream::Configuration:
+        applyEvacuations(batch, isSnapshot);
         applyConfiguration(batch);
         break;
     case store_stream::Targets:
@@ -376,8 +377,10 @@
 void store_feeds::applyConfiguration(const store_batch &batch)
 {
     // Each record holds the complete configuration, so only the newest one is needed.
-    const auto newest = std::find_if(batch.records.rbegin(), batch.records.rend(),
-                                     [](const store_record &record) { return !record.isRemoved; });
+    const auto newest = std::find_if(
+            batch.records.rbegin(), batch.records.rend(), [this](const store_record &record) {
+                return !record.isRemoved && !m_format.readEvacuation(record.key);
+            });
     if (newest == batch.records.rend())
         return;
     auto configuration = m_format.readConfiguration(newest->value);
@@ -390,6 +393,16 @@
     m_listener.onConfiguration(std::move(configuration.value()));
 }
 
+void store_feeds::applyEvacuations(const store_batch &batch, bool isSnapshot)
+{
+    std::vector<evacuation_change> changes;
+    for (const auto &record : batch.records) {
+        if (auto dataCentre = m_format.readEvacuation(record.key))
+            changes.push_back({std::move(*dataCentre), !record.isRemoved});
+    }
+    m_listener.onEvacuations(changes, batch.next, isSnapshot);
+}
+
 void store_feeds::applyTargets(const store_batch &batch, instant now, bool isSnapshot)
 {
     std::map<std::string, const store_record *> newest;
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/evacuation/evacuationview.h"
 #include "clementinebeam/gateway/iclusterstore.h"
 #include "clementinebeam/gateway/imessageformat.h"
 #include "clementinebeam/gateway/targetdirectory.h"
@@ -21,6 +22,13 @@
     /// the one in use.
     virtual void onConfiguration(routing_configuration configuration) = 0;
 
+    /// Called with each successful read of the stream that holds the evacuations.
+    /// @param changes what was read of them, oldest first; may be empty.
+    /// @param version the offset up to which the stream was read.
+    /// @param isComplete whether the read tells all evacuations.
+    virtual void onEvacuations(const std::vector<evacuation_change> &changes, std::uint64_t version,
+                               bool isComplete) = 0;
+
     /// Called when the directory of targets has changed or was read completely.
     virtual void onTargetsChanged() = 0;
 
@@ -116,6 +124,7 @@
     void rereadAfterOutage(instant before);
     void apply(feed &item, const store_batch &batch, instant requestedAt, bool isSnapshot);
     void applyConfiguration(const store_batch &batch);
+    void applyEvacuations(const store_batch &batch, bool isSnapshot);
     void applyTargets(const store_batch &batch, instant now, bool isSnapshot);
     void applyOwnership(const store_batch &batch, instant requestedAt);
     void schedule(feed &item, std::chrono::milliseconds delay);
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "clementinebeam/observability/logline.h"
 
+#include <algorithm>
+
 namespace clementinebeam {
 
 namespace {
@@ -25,7 +27,8 @@
 
 instant target_directory::listed_target::ownerUntil() const
 {
-    return isLeaving() ? leavingSince + ownerGraceTime : instant::max();
+    const auto drained = isShuttingDown() ? leavingSince + ownerGraceTime : instant::max();
+    return isEvacuated ? std::min(drained, evacuatedUntil) : drained;
 }
 
 std::optional<double> target_directory::listed_target::rateLimit(instant now) const
@@ -141,6 +144,7 @@
     target.entry = updated;
     target.isGone = false;
     updateLeaving(target, now);
+    updateEvacuated(target);
     ++m_revision;
     log_line(log_level::Info, "target_listed")
             .add("target", entry.id)
@@ -154,12 +158,27 @@
 
 void target_directory::updateLeaving(listed_target &target, instant now)
 {
-    if (!target.isLeaving())
+    if (!target.isShuttingDown())
         target.leavingSince = instant{};
     else if (target.leavingSince == instant{})
         target.leavingSince = now;
 }
 
+void target_directory::setEvacuated(std::map<std::string, instant> ownerUntil)
+{
+    m_evacuated = std::move(ownerUntil);
+    for (auto &[id, target] : m_targets)
+        updateEvacuated(target);
+    ++m_revision;
+}
+
+void target_directory::updateEvacuated(listed_target &target) const
+{
+    const auto found = m_evacuated.find(target.entry.dataCentre);
+    target.isEvacuated = found != m_evacuated.end();
+    target.evacuatedUntil = target.isEvacuated ? found->second : instant{};
+}
+
 void target_directory::markGone(listed_target &target, instant now)
 {
     target.isGone = true;
--- a/src/keyspace/internal/keycoordinator.cpp
+++ b/src/keyspace/internal/keycoordinator.cpp
@@ -1,5 +1,7 @@
 #include "clementinebeam/keyspace/keycoordinator.h"
 
+#include "internal/evacuationplanner.h"
+
 #include <algorithm>
 
 namespace clementinebeam {
@@ -201,6 +203,7 @@
         m_load.decay(now);
         plan(now);
     }
+    evacuate(now);
     assignUnowned(now);
     mergeNeighbours();
     issueReleases(now, actions);
@@ -240,7 +243,8 @@
         if (range.state != range_state::Assigned)
             continue;
         const auto *target = holder(range.assignment.target);
-        if (target && !target->isLeaving)
+        const bool isMovedInSteps = target && target->evacuateBy && now < *target->evacuateBy;
+        if (target && (!target->isLeaving || isMovedInSteps))
             continue;
         // Wait until the target has accepted a grant of this coordinator: otherwise an earlier
         // coordinator might renew its hold after the release.
@@ -253,6 +257,22 @@
     }
 }
 
+void key_coordinator::evacuate(instant now)
+{
+    const bool isNeeded = std::any_of(m_holders.begin(), m_holders.end(), [](const auto &item) {
+        return item.second.evacuateBy.has_value();
+    });
+    if (!isNeeded || now < m_nextEvacuation || !isStoreResponsive(now))
+        return;
+    m_nextEvacuation = now + EVACUATION_INTERVAL;
+    std::vector<key_holder> holders;
+    for (const auto &[id, item] : m_holders)
+        holders.push_back(item);
+    for (const auto &move : planEvacuation(holders, availableHolders(now), settledAssignments(),
+                                           movingAssignments(), m_load, now))
+        markReleasing(move);
+}
+
 void key_coordinator::unassignExpired(instant now)
 {
     for (auto &range : m_ranges) {
@@ -318,7 +338,12 @@
 
 void key_coordinator::plan(instant now)
 {
-    if (!isStoreResponsive(now))
+    // Until the last keys have left, targets that already got theirs look too busy.
+    const bool isEvacuating =
+            std::any_of(m_holders.begin(), m_holders.end(), [&](const auto &item) {
+                return item.second.evacuateBy && now < *item.second.evacuateBy;
+            });
+    if (isEvacuating || !isStoreResponsive(now))
         return;
     const auto settled = settledAssignments();
     auto moves = m_planner.rebalance(availableHolders(now), settled, movingAssignments(), m_load);
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -483,6 +483,42 @@
     BOOST_CHECK_EQUAL(counts["s3"], 10);
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_are_named_by_their_record_keys)
+{
+    BOOST_CHECK_EQUAL(CODEC.readEvacuation("evacuate/north-1").value_or(""), "north-1");
+    for (const std::string key :
+         {"config", "evacuate/", "evacuate", "x/evacuate/a", "evacuate/a\nb"})
+        BOOST_CHECK(!CODEC.readEvacuation(key));
+}
+
+BOOST_AUTO_TEST_CASE(evacuated_targets_leave_and_return)
+{
+    target_directory directory(seconds(2));
+    auto entry = CODEC.readTarget("i-1", targetEntry().dump()).value();
+    directory.update(entry, START);
+    const auto mayTake = [&](bool isKeyed, instant now) {
+        return directory.find("i-1")->mayTake(isKeyed, now);
+    };
+    directory.setEvacuated({{entry.dataCentre, START + seconds(1)}});
+    BOOST_CHECK(directory.find("i-1")->isLeaving());
+    BOOST_CHECK(!mayTake(false, START));
+    BOOST_CHECK(mayTake(true, START) && !mayTake(true, START + seconds(1)));
+    // A target that starts there meanwhile is bound as well.
+    auto started = entry;
+    started.id = "i-2";
+    directory.update(started, START);
+    BOOST_CHECK(directory.find("i-2")->isLeaving());
+    directory.setEvacuated({});
+    BOOST_CHECK(mayTake(false, START + seconds(2)));
+    // One that shuts down as well gets requests until the earlier of the two ends.
+    entry.isDraining = true;
+    directory.update(entry, START);
+    directory.setEvacuated({{entry.dataCentre, START + seconds(9)}});
+    BOOST_CHECK(!mayTake(true, START + seconds(1)));
+    directory.setEvacuated({});
+    BOOST_CHECK(directory.find("i-1")->isLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(entries_that_vanish_around_an_outage_are_kept_until_they_could_be_listed_again)
 {
     target_directory directory;
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -414,6 +414,15 @@
     badAnswer = answer;
     badAnswer.target = "a\r\nb";
     BOOST_CHECK(!isAccepted(badAnswer));
+    evacuations_message evacuations{3, {{"dc", 10}}};
+    answer.evacuations = evacuations;
+    BOOST_CHECK(isAccepted(evacuations) && isAccepted(answer));
+    evacuations.dataCentres.front().ageMs = -1;
+    BOOST_CHECK(!isAccepted(evacuations));
+    evacuations.dataCentres = {{"a\r\nb", 0}};
+    answer.evacuations = evacuations;
+    BOOST_CHECK(!isAccepted(answer));
+    BOOST_CHECK(!isAccepted(not_coordinator_message{SERVICE, 0, 2, {}, evacuations}));
     for (const double limit : {-1.0, std::numeric_limits<double>::quiet_NaN(),
                                std::numeric_limits<double>::infinity()}) {
         statements.targets.front().rateLimit = limit;
@@ -472,3 +481,73 @@
     context.run_for(target_directory::REGISTRATION_TIME);
     BOOST_CHECK(isRefused() == false);
 }
+
+// Guards against requests at evacuated targets (EVAC) while the coordinator is disconnected from
+// the store: whoever knows of the evacuation binds itself and tells the coordinator.
+BOOST_FIXTURE_TEST_CASE(evacuation_binds_against_a_coordinator_that_does_not_know, client_instance)
+{
+    listTargetsWithoutCoordinator();
+    evacuation_view view;
+    view.apply({}, 4, true, boot_clock::now());
+    client.setEvacuations(view, [&](std::uint64_t version, const auto &notes) {
+        view.merge(version, notes, boot_clock::now());
+        std::map<std::string, instant> ownerUntil;
+        for (const auto &[dataCentre, since] : view.evacuated())
+            ownerUntil.emplace(dataCentre, since);
+        targets.setEvacuated(ownerUntil);
+    });
+    other_instance coordinator(context, COORDINATOR_PORT);
+    evacuations_message told{4, {}};
+    evacuations_message heard;
+    target_id placedAt = "a";
+    coordinator.handleMessage = [&](const udp_endpoint &peer, const peer_message &message) {
+        if (const auto *notice = std::get_if<evacuations_message>(&message))
+            heard = *notice;
+        const auto *asked = std::get_if<place_request_message>(&message);
+        if (!asked)
+            return;
+        place_answer_message answer;
+        answer.service = SERVICE;
+        answer.token = asked->token;
+        answer.target = placedAt;
+        answer.targetHost = HOST;
+        answer.targetPort = 1;
+        answer.evacuations = told;
+        coordinator.channel.send(peer, answer);
+    };
+    ownership_record record;
+    record.service = SERVICE;
+    record.term = 3;
+    record.coordinator = textOf(COORDINATOR_PORT);
+    record.coordinatorRun = 1;
+    ownCoordination.onOwnership({record}, 3, boot_clock::now());
+    const auto isRefused = [this] {
+        std::optional<bool> isLeaving;
+        dispatch_request request;
+        request.arrival = boot_clock::now();
+        request.objective = request.arrival + milliseconds(2000);
+        request.deadline = request.objective;
+        client.place(SERVICE, request,
+                     [&](const dispatch_decision &, const placement_client::placement &where) {
+                         isLeaving = where.isLeaving;
+                     });
+        context.run_for(milliseconds(30));
+        return isLeaving;
+    };
+    BOOST_CHECK(isRefused() == false);
+    told = {5, {{"dc", 0}}};
+    auto entry = targets.find("a")->entry;
+    entry.dataCentre = "dc";
+    targets.update(entry, boot_clock::now());
+    BOOST_CHECK(isRefused() == true);
+    told = {4, {}}; // Another coordinator, which has not read the record.
+    BOOST_CHECK(isRefused() == true);
+    BOOST_CHECK_EQUAL(heard.version, 5U);
+    BOOST_REQUIRE_EQUAL(heard.dataCentres.size(), 1U);
+    BOOST_CHECK_EQUAL(heard.dataCentres.front().name, "dc");
+    placedAt = "not listed here";
+    BOOST_CHECK(isRefused() == true);
+    told = {6, {}}; // Taken back.
+    placedAt = "a";
+    BOOST_CHECK(isRefused() == false);
+}
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -29,7 +29,10 @@
     {
         ++readCounts[stream];
         ++snapshotCounts[stream];
-        callAfter(milliseconds(1), [done, outcome = failure] { done({outcome, {}, 1}); });
+        store_batch batch{failure, {}, snapshotEnd};
+        if (stream == store_stream::Configuration)
+            batch.records = newestOperatorRecords;
+        callAfter(milliseconds(1), [done, batch] { done(batch); });
     }
 
     void readFrom(store_stream stream, std::uint64_t offset, milliseconds wait,
@@ -39,6 +42,10 @@
         store_batch batch{failure, {}, offset};
         if (stream == store_stream::Configuration && wait == milliseconds(0))
             batch.records.push_back({"config", CONFIGURATION, false});
+        if (stream == store_stream::Configuration && !operatorRecords.empty()) {
+            batch.records = std::exchange(operatorRecords, {});
+            batch.next += batch.records.size();
+        }
         const bool isRefused = failure != store_failure::None;
         callAfter(isRefused ? m_transferTime : wait + m_transferTime,
                   [done, batch] { done(batch); });
@@ -54,6 +61,10 @@
     std::map<store_stream, int> readCounts;
     std::map<store_stream, int> snapshotCounts;
     store_failure failure = store_failure::None;
+    /// Configuration stream: what snapshots contain, and what the next other read returns.
+    std::vector<store_record> newestOperatorRecords;
+    std::uint64_t snapshotEnd = 1;
+    std::vector<store_record> operatorRecords;
 
 private:
     void callAfter(milliseconds delay, std::function<void()> action)
@@ -73,12 +84,18 @@
     {
         version = configuration.version;
     }
+    void onEvacuations(const std::vector<evacuation_change> &changes, std::uint64_t version,
+                       bool isComplete) override
+    {
+        evacuations.apply(changes, version, isComplete, boot_clock::now());
+    }
     void onTargetsChanged() override { }
     void onOwnership(const std::vector<ownership_record> &, std::uint64_t, instant) override { }
     bool isCoordinating() const override { return isCoordinator; }
     bool isRelayedViewFresh() const override { return hasRelayedView; }
 
     std::uint64_t version = 0;
+    evacuation_view evacuations;
     bool isCoordinator = false;
     bool hasRelayedView = false;
 };
@@ -109,6 +126,33 @@
 
 } // namespace
 
+// The records of evacuations share a stream with the configuration, and neither hides the other.
+BOOST_AUTO_TEST_CASE(evacuations_are_read_with_the_configuration)
+{
+    feed_fixture fixture;
+    const auto read = [&](std::vector<store_record> records) {
+        fixture.store.operatorRecords = std::move(records);
+        fixture.context.run_for(milliseconds(450)); // refresh() begins no read sooner.
+        fixture.feeds.refresh(store_stream::Configuration);
+        fixture.context.run_for(milliseconds(150)); // The next long poll has begun.
+    };
+    const auto &evacuated = fixture.listener.evacuations.evacuated();
+    BOOST_CHECK(evacuated.empty());
+    read({{"config", CONFIGURATION, false}, {"evacuate/c1", "{}", false}});
+    BOOST_CHECK(evacuated.contains("c1"));
+    BOOST_CHECK_EQUAL(fixture.listener.version, 7U);
+    read({{"evacuate/c2", "{}", false}, {"evacuate/c1", "", true}});
+    BOOST_CHECK(!evacuated.contains("c1") && evacuated.contains("c2"));
+    // After a loss of the stream's history, the newest records tell all evacuations.
+    fixture.store.newestOperatorRecords = {{"evacuate/c3", "{}", false}};
+    fixture.store.snapshotEnd = 6;
+    fixture.store.failure = store_failure::Forgotten;
+    read({});
+    fixture.store.failure = store_failure::None;
+    fixture.context.run_for(milliseconds(200));
+    BOOST_CHECK(!evacuated.contains("c2") && evacuated.contains("c3"));
+}
+
 // Peers report a newer configuration with every answer. If each report restarts the read in
 // progress, an instance on a slow link never gets the new version (bench dispensa-gw-grown,
 // trouble-2).
--- a/tests/unit/keyspacetest.cpp
+++ b/tests/unit/keyspacetest.cpp
@@ -29,6 +29,7 @@
     { }
 
     key_coordinator &coordinator() { return m_coordinator; }
+    const key_coordinator &coordinator() const { return m_coordinator; }
     instant now() const { return m_now; }
 
     void setHolders(std::vector<key_holder> holders) { m_coordinator.setHolders(holders); }
@@ -200,6 +201,193 @@
     BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
 }
 
+namespace {
+
+/// Twelve targets in three data centres that run 20 requests a second each, of which they get about
+/// 10. Some keys are much busier than others.
+struct evacuated_system {
+    evacuated_system()
+    {
+        holders = makeHolders();
+        system.setHolders(holders);
+        system.run(seconds(1));
+        applyLoad(seconds(10));
+        system.releases.clear();
+        system.grants.clear();
+    }
+
+    static std::vector<key_holder> makeHolders()
+    {
+        std::vector<key_holder> holders;
+        for (int index = 0; index < 12; ++index)
+            holders.push_back(makeHolder(std::string(1, "abc"[index % 3]) + std::to_string(index)));
+        return holders;
+    }
+
+    void setEvacuated(const std::string &dataCentres)
+    {
+        const auto end = system.now() + seconds(1);
+        for (auto &holder : holders) {
+            holder.isLeaving = dataCentres.find(holder.id.front()) != std::string::npos;
+            if (!holder.isLeaving)
+                holder.evacuateBy.reset();
+            else if (!holder.evacuateBy)
+                holder.evacuateBy = end;
+        }
+        system.setHolders(holders);
+    }
+
+    static key_number keyOf(int request)
+    {
+        const auto key = static_cast<key_number>((request * 7919LL) % KEY_COUNT);
+        return request % 4 == 0 ? key % 64 * 1024 : key;
+    }
+
+    void applyLoad(milliseconds time)
+    {
+        for (int step = 0; step < time / milliseconds(50); ++step) {
+            for (int count = 0; count < 6; ++count)
+                system.coordinator().noteRequest(keyOf(request++));
+            system.run(milliseconds(50));
+        }
+    }
+
+    /// @return the requests a second for the keys of a range, as applied.
+    static double loadOf(const key_range &keys)
+    {
+        double load = 0.0;
+        for (int index = 0; index < 4096; ++index)
+            load += keys.contains(keyOf(index)) ? 120.0 / 4096 : 0.0;
+        return load;
+    }
+
+    std::map<target_id, double> loads() const
+    {
+        std::map<target_id, double> result;
+        for (const auto &range : system.coordinator().served(system.now()))
+            result[range.target] += loadOf(range.keys);
+        return result;
+    }
+
+    std::vector<key_holder> holders;
+    simulated_system system;
+    int request = 0;
+};
+
+bool isMovedTwice(const std::vector<release_order> &releases)
+{
+    for (std::size_t index = 0; index < releases.size(); ++index) {
+        for (std::size_t other = 0; other < index; ++other) {
+            if (releases[index].keys.overlaps(releases[other].keys))
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(keys_leave_an_evacuated_data_centre_in_steps_and_spread, evacuated_system)
+{
+    setEvacuated("a");
+    applyLoad(milliseconds(300));
+    const auto early = system.releases.size();
+    BOOST_CHECK_GT(early, 0U);
+    BOOST_CHECK_EQUAL(loads().size(), 12U); // The rest is still served where it was.
+    applyLoad(milliseconds(1000));
+    BOOST_CHECK_LT(early, system.releases.size());
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+    BOOST_CHECK(!isMovedTwice(system.releases));
+    const auto after = loads();
+    BOOST_CHECK_EQUAL(after.size(), 8U);
+    for (const auto &[target, load] : after) {
+        BOOST_CHECK_NE(target.front(), 'a');
+        BOOST_CHECK_GT(load, 11.0); // 15 each, if spread evenly.
+        BOOST_CHECK_LT(load, 19.0);
+    }
+    // Every new owner gets the state of the previous one.
+    for (const auto &order : system.grants) {
+        const bool isNew =
+                std::any_of(system.releases.begin(), system.releases.end(),
+                            [&](const auto &release) { return release.keys.overlaps(order.keys); });
+        if (isNew && order.handover.empty()) {
+            const bool isRenewal =
+                    std::any_of(system.grants.begin(), system.grants.end(), [&](const auto &other) {
+                        return other.issued < order.issued && other.target == order.target
+                                && other.keys.overlaps(order.keys);
+                    });
+            BOOST_CHECK(isRenewal || order.target.front() == 'a');
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(busiest_keys_leave_an_evacuated_data_centre_first, evacuated_system)
+{
+    // One target gets three times the requests of the others.
+    key_range busy;
+    for (const auto &range : system.coordinator().served(system.now())) {
+        if (range.target == "a3")
+            busy = range.keys;
+    }
+    for (int step = 0; step < 40; ++step) {
+        for (int count = 0; count < 2; ++count)
+            system.coordinator().noteRequest(
+                    busy.first + static_cast<key_number>((step * 2 + count) * 37 % busy.size()));
+        applyLoad(milliseconds(50));
+    }
+    system.releases.clear();
+    setEvacuated("a");
+    applyLoad(milliseconds(100));
+    BOOST_REQUIRE(!system.releases.empty());
+    BOOST_CHECK_EQUAL(system.releases.front().target, "a3");
+}
+
+BOOST_FIXTURE_TEST_CASE(second_data_centre_and_a_leaving_target_are_evacuated_as_well,
+                        evacuated_system)
+{
+    setEvacuated("a");
+    applyLoad(milliseconds(500));
+    setEvacuated("ab");
+    holders[0].evacuateBy.reset(); // It shuts down meanwhile.
+    system.setHolders(holders);
+    applyLoad(milliseconds(1500));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+    for (const auto &[target, load] : loads())
+        BOOST_CHECK_EQUAL(target.front(), 'c');
+}
+
+BOOST_FIXTURE_TEST_CASE(keys_are_released_in_time_although_no_target_is_left, evacuated_system)
+{
+    setEvacuated("abc");
+    applyLoad(milliseconds(1300));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), 0U);
+    setEvacuated("");
+    applyLoad(milliseconds(500));
+    BOOST_CHECK_EQUAL(servedKeys(system.coordinator(), system.now()), KEY_COUNT);
+}
+
+// A coordinator that takes over in the middle finds released keys without an owner, and evacuated
+// targets that still hold keys.
+BOOST_FIXTURE_TEST_CASE(successor_completes_an_evacuation, evacuated_system)
+{
+    setEvacuated("a");
+    applyLoad(milliseconds(400));
+    auto record = system.coordinator().record();
+    ++record.term;
+    for (auto &range : record.ranges) {
+        range.fence = record.nextFence;
+        if (!range.target.empty() && range.target.front() != 'a')
+            range.grantTerm = record.term;
+    }
+    ++record.nextFence;
+    simulated_system successor(record, system.now());
+    successor.setHolders(holders);
+    successor.run(seconds(2));
+    BOOST_CHECK_EQUAL(servedKeys(successor.coordinator(), successor.now()), KEY_COUNT);
+    for (const auto &range : successor.coordinator().served(successor.now()))
+        BOOST_CHECK_NE(range.target.front(), 'a');
+}
+
 BOOST_AUTO_TEST_CASE(fencing_token_increases_with_each_change_of_owner)
 {
     simulated_system system;
