--- a/include/clementinebeam/gateway/gatewaytypes.h
+++ b/include/clementinebeam/gateway/gatewaytypes.h
@@ -46,7 +46,7 @@
     std::chrono::milliseconds warmUp{0}; ///< How long a target is cold after its start.
     /// Requests a second that a cold target takes from all instances together; nothing for no
     /// limit.
-    std::optional<double> warmUpRate;
+    std::optional<double> warmUpRate{};
 };
 
 /// One version of the routing configuration that operators write.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -301,13 +301,15 @@
     const auto &evacuated = m_evacuations.evacuated();
     const auto remainders = m_coordination.evacuationRemainders();
     m_metrics.setEvacuations(evacuated, remainders);
-    for (const auto &item : m_evacuationProgress.update(evacuated, remainders))
-        log_line(log_level::Info, "evacuation_service_done")
-                .add("data_centre", item.dataCentre)
-                .add("service", item.service)
-                .add("known_for_ms",
-                     std::chrono::duration_cast<milliseconds>(now - evacuated.at(item.dataCentre))
-                             .count());
+    for (const auto &item : m_evacuationProgress.update(evacuated, remainders)) {
+        const auto since = evacuated.at(item.dataCentre);
+        log_line line(log_level::Info, "evacuation_service_done");
+        line.add("data_centre", item.dataCentre).add("service", item.service);
+        if (since != instant{})
+            line.add("after_ms", std::chrono::duration_cast<milliseconds>(now - since).count());
+        else
+            line.add("after_ms", "unknown");
+    }
 }
 
 void gateway::onTargetsChanged()
