Evacuate targets in the model of key ownership

Change: half of the targets that leave in the model are evacuated, so that keys move in steps while coordinators change, orders are lost and the store is down.

--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -176,6 +176,7 @@
         }
     }
     std::vector<evacuation_remainder> result;
+    result.reserve(remainders.size());
     for (auto &[dataCentre, remainder] : remainders)
         result.push_back(std::move(remainder));
     return result;
--- a/tests/keymodel/keymodel.cpp
+++ b/tests/keymodel/keymodel.cpp
@@ -78,7 +78,8 @@
     std::vector<key_holder> holders;
     for (const auto &target : m_targets) {
         if (target.isListed)
-            holders.push_back({target.id, target.incarnation, 20.0, target.isLeaving});
+            holders.push_back(
+                    {target.id, target.incarnation, 20.0, target.isLeaving, target.evacuateBy});
     }
     return holders;
 }
@@ -112,6 +113,9 @@
     if (occurs(m_faults.restartsPerMinute * perStep)) {
         target.isLeaving = !target.isLeaving;
         target.isListed = !target.isLeaving || occurs(0.5);
+        // Some leave because they are evacuated, also several at a time.
+        const bool isEvacuated = target.isLeaving && target.isListed && target.incarnation % 2 == 1;
+        target.evacuateBy = isEvacuated ? std::optional(m_now + seconds(1)) : std::nullopt;
     }
     if (occurs(m_faults.takeoversPerMinute * perStep))
         claim(instance);
--- a/tests/keymodel/keymodel.h
+++ b/tests/keymodel/keymodel.h
@@ -63,6 +63,7 @@
         bool isUp = true;
         bool isListed = true;
         bool isLeaving = false;
+        std::optional<instant> evacuateBy{}; ///< As in key_holder.
         std::vector<sample_hold> holds = std::vector<sample_hold>(SAMPLED_KEYS);
     };
 
