Limit the requests to cold targets with a warm-up limit

Cause: a service's warm-up rate was decoded but not applied, and only the first warm-up time of a target's run was kept.

Change: module warmup. warm_up_time follows the remaining time of each new write, also when it rises again in the same run. warm_up_pacer lets one coordinator place at most half of the bound in any window of one second and the longest lateness, and counts what was placed while the target was warm. The dispatcher applies it besides the rate limit; instances without a coordinator leave limited cold targets alone. A placement on such a target carries the time within which it has to be sent. Metrics and a log line of cold targets and of requests held back.

--- a/include/clementinebeam/dispatch/dispatchtypes.h
+++ b/include/clementinebeam/dispatch/dispatchtypes.h
@@ -3,6 +3,7 @@
 #include "clementinebeam/kernel/bootclock.h"
 #include "clementinebeam/kernel/errorkind.h"
 #include "clementinebeam/kernel/identifiers.h"
+#include "clementinebeam/warmup/warmuppacer.h"
 
 #include <chrono>
 #include <cstdint>
@@ -95,6 +96,8 @@
     std::chrono::milliseconds retryAfter{0}; ///< Proposed delay before a retry if it is rejected.
     std::chrono::microseconds waited{0};     ///< Time in the queue.
     std::size_t queueLength = 0;             ///< Queued requests at the time of the decision.
+    /// The request must not be sent later; nothing if only its deadline counts.
+    std::optional<instant> sendBefore{};
 };
 
 using dispatch_decisions = std::vector<dispatch_decision>;
@@ -105,12 +108,13 @@
     std::string dataCentre;
     std::uint32_t slots = 1; ///< Requests that the target runs at a time.
     bool isDraining = false;
-    std::chrono::milliseconds remainingWarmUp{0}; ///< Remaining warm-up time after its start.
+    instant coldUntil{}; ///< Until then it is slow, and its warm-up limit applies.
     /// From then on, the target gets no new requests even for keys that it owns; until then it gets
     /// them even while it drains.
     instant ownerUntil = instant::max();
     instant pausedUntil{};             ///< Until then, it gets no requests.
     std::optional<double> rateLimit{}; ///< Largest number of requests a second, if it is limited.
+    std::optional<warm_up_limit> warmUpLimit{}; ///< Nothing if it takes any number while cold.
 };
 
 } // namespace clementinebeam
--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -6,6 +6,7 @@
 #include "clementinebeam/dispatch/ratepacer.h"
 #include "clementinebeam/dispatch/retrybudget.h"
 #include "clementinebeam/dispatch/targetestimate.h"
+#include "clementinebeam/warmup/warmuppacer.h"
 
 #include <map>
 #include <memory>
@@ -23,6 +24,9 @@
     /// Requests a second by which the rate limit of a key's owner may be exceeded, besides a
     /// factor.
     double ownerLimitExtra = 0.5;
+    /// Whether requests may be sent to cold targets with a warm-up limit. Only one dispatcher can
+    /// keep such a limit.
+    bool mayUseColdTargets = true;
     /// Service time that is assumed before a target's first answer.
     std::chrono::microseconds initialServiceTime{100000};
 };
@@ -85,6 +89,13 @@
     ///     unknown.
     double throughputOf(const target_id &target, instant now) const;
 
+    /// @return the targets that take few requests at present because they are cold.
+    std::size_t limitedColdTargets(instant now) const;
+
+    /// @return the requests that were not dispatched on arrival because of the warm-up limit of a
+    ///     target with a free slot.
+    std::uint64_t heldBackCount() const { return m_heldBackCount; }
+
 private:
     /// Start of a dispatched request, as its target_state keeps it.
     struct started_request {
@@ -102,13 +113,13 @@
 
         dispatch_target target;
         target_estimate estimate;
-        std::optional<rate_pacer> pacer; ///< Set if the target has a rate limit.
+        std::optional<rate_pacer> pacer;     ///< Set if the target has a rate limit.
+        std::optional<warm_up_pacer> warmUp; ///< Set if the target is limited while it is cold.
         bool isListed = true;
         std::vector<started_request> running; ///< Dispatched and not ended, in order of start.
         /// Requests at the target that were not dispatched here, according to its last report.
         std::uint32_t externalRequests = 0;
         instant externalRequestsUntil{};
-        instant coldUntil{};
     };
 
     /// A dispatched request that has not ended; it may still wait at the target.
@@ -138,7 +149,11 @@
     static void beginNext(target_state &state, instant now);
     static bool wasFull(const target_state &state, const run_report &report, instant now);
     void updatePacer(target_state &state, instant now) const;
-    double rateOf(const target_state &state, std::chrono::microseconds serviceTime) const;
+    bool isHeldBack(const waiting_request &item, instant now) const;
+    static bool isLimitedAsCold(const target_state &state, instant now);
+    instant paceReadyAt(const target_state &state, instant now) const;
+    double rateOf(const target_state &state, std::chrono::microseconds serviceTime,
+                  instant now) const;
     std::uint32_t capacityOf(const target_state &state) const;
     /// Includes COLD_START_FACTOR, unlike typicalServiceTime().
     std::chrono::microseconds expectedTime(const target_state &state, instant now) const;
@@ -169,6 +184,7 @@
     const i_key_directory *m_keyDirectory;
     retry_budget m_retryBudget;
     target_map m_targets;
+    std::uint64_t m_heldBackCount = 0;
     /// Mean over listed targets that are not draining, without COLD_START_FACTOR.
     std::chrono::microseconds m_meanServiceTime;
     std::unordered_map<request_token, waiting_request> m_waiting;
--- a/include/clementinebeam/gateway/gatewaytypes.h
+++ b/include/clementinebeam/gateway/gatewaytypes.h
@@ -66,8 +66,8 @@
     std::string dataCentre;
     std::uint32_t slots = 1; ///< Requests that the target runs at a time.
     bool isDraining = false; ///< The target is shutting down and takes no new requests.
-    /// Remaining warm-up time, during which it is slow. target_directory keeps the first value that
-    /// it read of a run.
+    /// Remaining warm-up time when it was written. target_directory keeps until when the target is
+    /// cold, and not this value.
     std::chrono::milliseconds remainingWarmUp{0};
     std::uint64_t incarnation = 0; ///< Identifies the run of its process; a restart changes it.
 
--- a/include/clementinebeam/gateway/targetdirectory.h
+++ b/include/clementinebeam/gateway/targetdirectory.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "clementinebeam/gateway/gatewaytypes.h"
+#include "clementinebeam/warmup/warmuppacer.h"
+#include "clementinebeam/warmup/warmuptime.h"
 
 #include <map>
 
@@ -32,6 +34,8 @@
         received_statement stated; ///< What is known of it from answers, but for its pause.
         instant pausedUntil{};     ///< It asked for no requests until then.
         instant writtenAt{};       ///< When a new write of its entry was last read.
+        warm_up_time warmUp;       ///< Until when it is cold.
+        std::optional<warm_up_limit> warmUpLimit; ///< Of its service.
 
         bool isLeaving() const { return isGone || entry.isDraining || stated.statement.isLeaving; }
 
@@ -72,9 +76,13 @@
     explicit target_directory(std::chrono::milliseconds drain = std::chrono::milliseconds(2000),
                               std::chrono::milliseconds heartbeat = std::chrono::seconds(1));
 
+    /// Sets which services have a warm-up limit.
+    /// @param bounds what applies to the limits of all services.
+    void setServices(const std::vector<routed_service> &services, const service_bounds &bounds);
+
     /// Adds or updates a target.
-    /// @return whether anything changed; a new remaining warm-up time in the same run doesn't
-    /// count.
+    /// @return whether anything changed. A remaining warm-up time counts only if it makes a warm
+    /// target cold.
     bool update(const target_entry &entry, instant now);
 
     /// Records that a write of a target's entry has been read, not only its newest state.
@@ -119,12 +127,14 @@
 private:
     bool mayHaveLapsed(const listed_target &target, instant now) const;
     void markGone(listed_target &target, instant now);
+    std::optional<warm_up_limit> warmUpLimitOf(const service_name &service) const;
     static void updateLeaving(listed_target &target, instant now);
     static bool updateStatement(listed_target &target, const received_statement &received);
 
     const std::chrono::milliseconds m_ownerGraceTime;
     const std::chrono::milliseconds m_lapseTime; ///< Shortest outage in which live entries lapse.
     target_map m_targets;
+    std::map<service_name, warm_up_limit> m_warmUpLimits;
     std::map<target_id, instant> m_pendingRemovals;
     bool m_isStoreReachable = true;
     instant m_outageStart{}; ///< Of the present outage or the last one.
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -44,14 +44,14 @@
     for (auto &[id, state] : m_targets)
         state.isListed = false;
     for (const auto &target : targets) {
-        const auto [position, isNew] = m_targets.try_emplace(
-                target.id, target, target_estimate(m_settings.initialServiceTime));
+        const auto position = m_targets
+                                      .try_emplace(target.id, target,
+                                                   target_estimate(m_settings.initialServiceTime))
+                                      .first;
         auto &state = position->second;
         state.target = target;
         state.isListed = true;
         updatePacer(state, now);
-        if (isNew)
-            state.coldUntil = now + target.remainingWarmUp;
     }
     std::erase_if(m_targets, [](const auto &entry) {
         return !entry.second.isListed && entry.second.running.empty();
@@ -64,6 +64,12 @@
 
 void service_dispatcher::updatePacer(target_state &state, instant now) const
 {
+    if (!state.target.warmUpLimit)
+        state.warmUp.reset();
+    else if (state.warmUp)
+        state.warmUp->setLimit(*state.target.warmUpLimit);
+    else
+        state.warmUp.emplace(*state.target.warmUpLimit);
     auto limit = state.target.rateLimit;
     if (limit && m_keyDirectory)
         limit = *limit * OWNER_LIMIT_FACTOR + m_settings.ownerLimitExtra;
@@ -135,22 +141,60 @@
 
 bool service_dispatcher::hasCapacity(const target_state &state, instant now) const
 {
-    return occupancy(state, now) < capacityOf(state)
-            && !(state.pacer && now < state.pacer->readyAt());
+    return occupancy(state, now) < capacityOf(state) && now >= paceReadyAt(state, now);
+}
+
+bool service_dispatcher::isLimitedAsCold(const target_state &state, instant now)
+{
+    return state.warmUp && now < state.target.coldUntil;
+}
+
+/// @return when the limits of the target allow the next request; may be in the past.
+instant service_dispatcher::paceReadyAt(const target_state &state, instant now) const
+{
+    const auto ready = state.pacer ? state.pacer->readyAt() : instant{};
+    if (!isLimitedAsCold(state, now))
+        return ready;
+    const auto coldReady = m_settings.mayUseColdTargets ? state.warmUp->readyAt() : NEVER;
+    return std::max(ready, std::min(coldReady, state.target.coldUntil));
+}
+
+/// @return whether the warm-up limit of a target with a free slot keeps a request from it.
+bool service_dispatcher::isHeldBack(const waiting_request &item, instant now) const
+{
+    const auto isHolding = [&](const target_state &state) {
+        return isUsable(state, now) && isLimitedAsCold(state, now) && now < paceReadyAt(state, now)
+                && occupancy(state, now) < state.target.slots;
+    };
+    if (isKeyed(item.request))
+        return item.owner && isHolding(*item.owner);
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto &target) { return isHolding(target.second); });
+}
+
+std::size_t service_dispatcher::limitedColdTargets(instant now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &item) {
+                return item.second.isListed && isLimitedAsCold(item.second, now);
+            }));
 }
 
 /// @return the requests a second that a target can run.
-double service_dispatcher::rateOf(const target_state &state, microseconds serviceTime) const
+double service_dispatcher::rateOf(const target_state &state, microseconds serviceTime,
+                                  instant now) const
 {
     const std::chrono::duration<double> time = std::max(MIN_SERVICE_TIME, serviceTime);
-    const double rate = state.target.slots / time.count();
+    double rate = state.target.slots / time.count();
+    if (isLimitedAsCold(state, now))
+        rate = m_settings.mayUseColdTargets ? std::min(rate, state.warmUp->rate()) : 0.0;
     return state.target.rateLimit ? std::min(rate, *state.target.rateLimit) : rate;
 }
 
 microseconds service_dispatcher::expectedTime(const target_state &state, instant now) const
 {
     const auto time = state.estimate.serviceTime();
-    return now < state.coldUntil ? time * COLD_START_FACTOR : time;
+    return now < state.target.coldUntil ? time * COLD_START_FACTOR : time;
 }
 
 service_dispatcher::target_state *service_dispatcher::ownerOf(const dispatch_request &request)
@@ -221,7 +265,7 @@
     if (found == m_targets.end())
         return 0.0;
     const auto &state = found->second;
-    return rateOf(state, state.estimate.serviceTime()) * state.estimate.answerShare(now);
+    return rateOf(state, state.estimate.serviceTime(), now) * state.estimate.answerShare(now);
 }
 
 std::size_t service_dispatcher::waitingAhead(const dispatch_request &request,
@@ -243,9 +287,14 @@
     const auto &state = *item.owner;
     const auto waiting = waitingAhead(item.request, item.owner);
     microseconds wait = std::max(microseconds(0), state.target.pausedUntil - now);
+    boot_clock::duration interval{0};
     if (state.pacer)
-        wait = std::max(wait, state.pacer->readyAt() - now)
-                + state.pacer->interval() * static_cast<std::int64_t>(waiting);
+        interval = state.pacer->interval();
+    if (isLimitedAsCold(state, now))
+        interval = std::max(interval, state.warmUp->interval());
+    if (interval > boot_clock::duration(0))
+        wait = std::max(wait, paceReadyAt(state, now) - now)
+                + interval * static_cast<std::int64_t>(waiting);
     const auto ahead = occupancy(state, now) + waiting;
     const auto slots = std::max<std::uint32_t>(1, state.target.slots);
     if (ahead < slots)
@@ -263,7 +312,7 @@
     for (const auto &[id, state] : m_targets) {
         if (!isUsable(state, now) || isStuck(state, now))
             continue;
-        serviceRate += rateOf(state, expectedTime(state, now));
+        serviceRate += rateOf(state, expectedTime(state, now), now);
         const auto busy = occupancy(state, now);
         excess += busy > state.target.slots ? busy - state.target.slots : 0;
     }
@@ -307,6 +356,7 @@
         dispatch(request, *state, now, decisions);
         return;
     }
+    m_heldBackCount += isHeldBack(item, now) ? 1 : 0;
     if (m_waiting.size() >= m_settings.maxWaiting
         || !admission_policy::mayWait(admissionInputFor(item, now))) {
         reject(item, rejectionReason(item), now, decisions);
@@ -322,12 +372,16 @@
     const bool hasFreeSlot = occupancy(state, now) < state.target.slots;
     if (state.pacer)
         state.pacer->consume(now);
+    if (state.warmUp)
+        state.warmUp->consume(now);
     state.running.push_back({request.token, now, hasFreeSlot ? std::optional(now) : std::nullopt});
     dispatch_decision decision;
     decision.token = request.token;
     decision.target = state.target.id;
     decision.waited = now - request.arrival;
     decision.queueLength = m_waiting.size();
+    if (isLimitedAsCold(state, now))
+        decision.sendBefore = now + warm_up_pacer::PLACEMENT_LIFETIME;
     m_running.emplace(request.token, running_request{request, decision});
     decisions.push_back(std::move(decision));
 }
@@ -496,8 +550,8 @@
     for (const auto &[id, state] : m_targets) {
         if (now < unavailableUntil(state))
             next = std::min(next, unavailableUntil(state));
-        if (state.pacer && now < state.pacer->readyAt())
-            next = std::min(next, state.pacer->readyAt());
+        if (now < paceReadyAt(state, now))
+            next = std::min(next, paceReadyAt(state, now));
     }
     return std::max(next, now + MIN_ADVANCE_INTERVAL);
 }
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -147,6 +147,7 @@
             targets.push_back(listed.toDispatchTarget(now));
     }
     m_dispatcher.setTargets(targets, now);
+    reportColdTargets(now);
     for (auto &holder : holders)
         holder.capacity = m_dispatcher.throughputOf(holder.id, now);
     if (m_keyCoordinator)
@@ -154,6 +155,23 @@
     advanceAll();
 }
 
+void coordinated_service::reportColdTargets(instant now)
+{
+    const auto count = m_dispatcher.limitedColdTargets(now);
+    const auto heldBack = m_dispatcher.heldBackCount() - m_reportedHeldBack;
+    if (count == 0 && m_reportedColdTargets == 0 && heldBack == 0)
+        return;
+    m_environment.metrics.setColdTargets(m_name, count, heldBack);
+    if (count != m_reportedColdTargets) {
+        log_line(log_level::Info, "cold_targets")
+                .add("service", m_name)
+                .add("count", count)
+                .add("held_back", heldBack);
+    }
+    m_reportedColdTargets = count;
+    m_reportedHeldBack += heldBack;
+}
+
 void coordinated_service::enqueue(const dispatch_request &request)
 {
     if (m_keyCoordinator && request.key && !request.isRetry)
--- a/src/gateway/internal/coordinatedservice.h
+++ b/src/gateway/internal/coordinatedservice.h
@@ -128,6 +128,7 @@
     void connect(const target_entry &entry, const order_pointer &order);
     void advanceKeysSoon();
     void reportKeys();
+    void reportColdTargets(instant now);
 
     environment m_environment;
     service_name m_name;
@@ -144,6 +145,8 @@
     boost::asio::steady_timer m_timer;
     std::uint64_t m_ownersRevision = 0;
     std::uint64_t m_reportedMoves = 0;
+    std::uint64_t m_reportedHeldBack = 0;
+    std::size_t m_reportedColdTargets = 0;
     instant m_nextReport{};
     instant m_nextOwnersUpdate{};
     instant m_nextTargetUpdate{};
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -243,6 +243,7 @@
     m_metrics.countIncompleteRows(configuration.incompleteRows);
     m_routes = std::make_unique<route_table>(std::move(configuration));
     m_placement.setConfigurationVersion(m_routes->configuration().version);
+    m_targets.setServices(m_routes->configuration().services, m_settings.bounds);
     m_coordination.setServices(m_routes->configuration().services);
 }
 
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -68,6 +68,9 @@
                           "Calls to the platform's store", m_registry))
     , m_moves(family(prometheus::BuildCounter(), "clementinebeam_gateway_range_moves_total",
                      "Ranges of keys that were moved to even out the load", m_registry))
+    , m_heldBack(family(
+              prometheus::BuildCounter(), "clementinebeam_gateway_warm_up_held_back_total",
+              "Requests not dispatched at once because of a target's warm-up limit", m_registry))
     , m_incompleteRows(family(prometheus::BuildCounter(),
                               "clementinebeam_gateway_incomplete_configuration_rows_total",
                               "Routes and services that could not be read in full", m_registry)
@@ -76,6 +79,9 @@
                     "Time since the store last confirmed an input", m_registry))
     , m_keys(family(prometheus::BuildGauge(), "clementinebeam_gateway_keys",
                     "Keys of the services coordinated here, by state", m_registry))
+    , m_coldTargets(family(prometheus::BuildGauge(), "clementinebeam_gateway_cold_targets",
+                           "Cold targets with a warm-up limit, of the services coordinated here",
+                           m_registry))
     , m_version(family(prometheus::BuildGauge(), "clementinebeam_gateway_configuration_version",
                        "Configuration version in force", m_registry)
                         .Add({}))
@@ -157,6 +163,14 @@
     m_keys.Add({{"service", name}, {"state", "unserved"}}).Set(static_cast<double>(unserved));
 }
 
+void gateway_metrics::setColdTargets(std::string_view service, std::size_t count,
+                                     std::uint64_t newlyHeldBack)
+{
+    const std::string name(service);
+    m_coldTargets.Add({{"service", name}}).Set(static_cast<double>(count));
+    m_heldBack.Add({{"service", name}}).Increment(static_cast<double>(newlyHeldBack));
+}
+
 std::string gateway_metrics::render()
 {
     m_droppedLines.Set(static_cast<double>(droppedLogLines()));
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -70,6 +70,10 @@
     /// instance coordinates.
     void setKeys(std::string_view service, std::size_t served, std::size_t unserved);
 
+    /// Sets the number of cold targets with a warm-up limit, and counts the requests that their
+    /// limits held back, for a service that this instance coordinates.
+    void setColdTargets(std::string_view service, std::size_t count, std::uint64_t newlyHeldBack);
+
     /// @return all metrics in the Prometheus text format.
     std::string render();
 
@@ -82,9 +86,11 @@
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_moves;
+    prometheus::Family<prometheus::Counter> &m_heldBack;
     prometheus::Counter &m_incompleteRows;
     prometheus::Family<prometheus::Gauge> &m_ages;
     prometheus::Family<prometheus::Gauge> &m_keys;
+    prometheus::Family<prometheus::Gauge> &m_coldTargets;
     prometheus::Gauge &m_version;
     prometheus::Gauge &m_targets;
     prometheus::Gauge &m_droppedLines;
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -113,6 +113,10 @@
     message.retryAfterMs = decision.retryAfter.count();
     message.waitedUs = decision.waited.count();
     message.queueLength = static_cast<std::uint32_t>(decision.queueLength);
+    message.hasSendLimit = decision.sendBefore.has_value();
+    if (decision.sendBefore)
+        message.sendWithinMs =
+                std::chrono::floor<milliseconds>(*decision.sendBefore - boot_clock::now()).count();
     return message;
 }
 
@@ -250,6 +254,7 @@
     settings.retryCapacity = LOCAL_RETRY_CAPACITY;
     // The limit is divided by the number of instances, a fixed amount is not.
     settings.ownerLimitExtra = 0.0;
+    settings.mayUseColdTargets = false;
     // Requests with a key wait for its owner, also while the owners are not known yet.
     item.dispatcher = std::make_unique<service_dispatcher>(settings, &item.owners);
     item.timer = std::make_unique<boost::asio::steady_timer>(m_context);
@@ -722,9 +727,11 @@
     const bool isCoordinatorListStale =
             milliseconds(message.targetListAgeMs) > MAX_COORDINATOR_LIST_AGE;
     if (!message.target.empty() && isCoordinatorListStale && waitForList(item)) {
-        item->timer.async_wait([this, peer, message](boost::system::error_code error) {
+        auto delayed = message;
+        delayed.sendWithinMs -= LIST_WAIT.count();
+        item->timer.async_wait([this, peer, delayed](boost::system::error_code error) {
             if (!error)
-                handlePlacement(peer, message);
+                handlePlacement(peer, delayed);
         });
         return;
     }
@@ -735,6 +742,8 @@
     decision.retryAfter = milliseconds(message.retryAfterMs);
     decision.waited = microseconds(message.waitedUs);
     decision.queueLength = message.queueLength;
+    if (message.hasSendLimit)
+        decision.sendBefore = boot_clock::now() + milliseconds(message.sendWithinMs);
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
     const bool isKeyed = item->request.key.has_value();
--- a/src/gateway/internal/placementmessages.cpp
+++ b/src/gateway/internal/placementmessages.cpp
@@ -57,7 +57,8 @@
             && isReason(message.reason) && isTime<milliseconds>(message.retryAfterMs)
             && isTime<microseconds>(message.waitedUs)
             && isAge<milliseconds>(message.targetListAgeMs)
-            && isAge<milliseconds>(message.configurationAgeMs);
+            && isAge<milliseconds>(message.configurationAgeMs)
+            && isTime<milliseconds>(message.sendWithinMs);
 }
 
 bool isValid(const ended_message &message)
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -52,12 +52,15 @@
     std::int64_t configurationAgeMs = 0; ///< Time since `configuration` was last known as newest.
     std::uint8_t rank = 0;               ///< The sender's coordination::coordinator_rank.
     std::string peer; ///< Address of another instance, for the receiver's peer list; may be empty.
+    bool hasSendLimit = false;
+    std::int64_t sendWithinMs = 0; ///< Time left to send the request, if that is limited.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
-                queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer);
+                queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer,
+                hasSendLimit, sendWithinMs);
     }
 };
 
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -140,12 +140,17 @@
                    decision.retryAfter);
         return;
     }
-    if (destination.isLeaving || destination.address.port == 0 || timeLeft() <= milliseconds(0)) {
+    const bool isTooLate = decision.sendBefore && boot_clock::now() > *decision.sendBefore;
+    if (destination.isLeaving || destination.address.port == 0 || timeLeft() <= milliseconds(0)
+        || isTooLate) {
         reportRun(run_result::NotUsed, std::nullopt);
         ++m_unsentAttempts;
         m_target = target_entry{};
         m_target.id = decision.target;
-        onFailure(run_result::NotSent, destination.isLeaving ? "target_leaving" : "target_unknown");
+        onFailure(run_result::NotSent,
+                  destination.isLeaving ? "target_leaving"
+                          : isTooLate   ? "placement_late"
+                                        : "target_unknown");
         return;
     }
     target_entry target;
--- a/src/gateway/internal/targetdirectory.cpp
+++ b/src/gateway/internal/targetdirectory.cpp
@@ -46,8 +46,8 @@
 
 dispatch_target target_directory::listed_target::toDispatchTarget(instant now) const
 {
-    return {entry.id,     entry.dataCentre, entry.slots,   isLeaving(), entry.remainingWarmUp,
-            ownerUntil(), pausedUntil,      rateLimit(now)};
+    return {entry.id,     entry.dataCentre, entry.slots,    isLeaving(), warmUp.coldUntil(),
+            ownerUntil(), pausedUntil,      rateLimit(now), warmUpLimit};
 }
 
 bool target_directory::noteStatement(const target_id &id, const received_statement &received)
@@ -127,16 +127,19 @@
     auto &target = position->second;
     target.ownerGraceTime = m_ownerGraceTime;
     auto updated = entry;
-    // The remaining warm-up time decreases with each heartbeat, which is no change to report. Only
-    // the value at the start of a run is kept.
-    if (!isNew && target.entry.incarnation == entry.incarnation)
-        updated.remainingWarmUp = target.entry.remainingWarmUp;
+    // The remaining warm-up time decreases with each heartbeat, which is no change to report.
+    updated.remainingWarmUp = milliseconds(0);
+    target.warmUpLimit = warmUpLimitOf(entry.service);
+    const bool wasCold = now < target.warmUp.coldUntil();
     if (isNew || target.entry.incarnation != entry.incarnation) {
         // Statements of an earlier run that arrive later are ignored.
         target.stated = {{}, now, now};
         target.pausedUntil = {};
+        target.warmUp = {};
     }
-    if (!isNew && !target.isGone && target.entry == updated)
+    target.warmUp.note(entry.remainingWarmUp, target.writtenAt, now);
+    const bool hasTurnedCold = !wasCold && now < target.warmUp.coldUntil();
+    if (!isNew && !target.isGone && target.entry == updated && !hasTurnedCold)
         return false;
     target.entry = updated;
     target.isGone = false;
@@ -148,10 +151,30 @@
             .add("address", entry.address.text())
             .add("state", entry.isDraining ? "draining" : "ready")
             .add("incarnation", entry.incarnation)
+            .add("cold_ms", entry.remainingWarmUp.count())
             .add("revision", m_revision);
     return true;
 }
 
+void target_directory::setServices(const std::vector<routed_service> &services,
+                                   const service_bounds &bounds)
+{
+    m_warmUpLimits.clear();
+    for (const auto &service : services) {
+        if (service.warmUpRate)
+            m_warmUpLimits[service.name] = {*service.warmUpRate, bounds.warmUpFactor,
+                                            bounds.warmUpSlack};
+    }
+    for (auto &[id, target] : m_targets)
+        target.warmUpLimit = warmUpLimitOf(target.entry.service);
+}
+
+std::optional<warm_up_limit> target_directory::warmUpLimitOf(const service_name &service) const
+{
+    const auto found = m_warmUpLimits.find(service);
+    return found == m_warmUpLimits.end() ? std::nullopt : std::optional(found->second);
+}
+
 void target_directory::updateLeaving(listed_target &target, instant now)
 {
     if (!target.isLeaving())
--- a/tests/loadmodel/loadmodel.cpp
+++ b/tests/loadmodel/loadmodel.cpp
@@ -241,7 +241,7 @@
     std::vector<dispatch_target> targets;
     std::vector<key_holder> holders;
     for (const auto &[id, target] : m_targets) {
-        targets.push_back({id, "a", SLOTS, false, milliseconds(0)});
+        targets.push_back({id, "a", SLOTS});
         holders.push_back({id, 1, 0.0, false});
     }
     m_dispatcher->setTargets(targets, m_now);
--- a/tests/platform/codectest.cpp
+++ b/tests/platform/codectest.cpp
@@ -581,6 +581,48 @@
     BOOST_CHECK(!directory.noteStatement("unknown", {limited, START, START}));
 }
 
+BOOST_AUTO_TEST_CASE(target_may_turn_cold_again_in_the_same_run)
+{
+    target_directory directory;
+    service_bounds bounds;
+    bounds.warmUpFactor = 1.5;
+    bounds.warmUpSlack = 8.0;
+    routed_service service;
+    service.name = "s";
+    service.warmUpRate = 4.0;
+    directory.setServices({service}, bounds);
+    target_entry entry;
+    entry.id = "t1";
+    entry.service = "s";
+    entry.remainingWarmUp = milliseconds(3000);
+    directory.update(entry, START);
+    const auto coldUntil = [&] { return directory.find("t1")->toDispatchTarget(START).coldUntil; };
+    BOOST_CHECK(directory.find("t1")->toDispatchTarget(START).warmUpLimit
+                == (warm_up_limit{4.0, 1.5, 8.0}));
+    BOOST_CHECK(coldUntil() == START + seconds(3));
+    entry.remainingWarmUp = milliseconds(2000);
+    directory.noteWritten("t1", START + milliseconds(1100));
+    // No change to report, but the later value is nearer to the truth.
+    BOOST_CHECK(!directory.update(entry, START + milliseconds(1100)));
+    BOOST_CHECK(coldUntil() == START + milliseconds(3100));
+    // The whole list is read again; the entry is an old one.
+    directory.replaceAll({entry}, START + milliseconds(1500));
+    BOOST_CHECK(coldUntil() == START + milliseconds(3100));
+    entry.remainingWarmUp = milliseconds(0);
+    directory.noteWritten("t1", START + seconds(4));
+    BOOST_CHECK(!directory.update(entry, START + seconds(4)));
+    entry.remainingWarmUp = milliseconds(3000);
+    directory.noteWritten("t1", START + seconds(5));
+    BOOST_CHECK(directory.update(entry, START + seconds(5)));
+    BOOST_CHECK(coldUntil() == START + seconds(8));
+    entry.remainingWarmUp = milliseconds(0);
+    entry.incarnation = 2;
+    directory.update(entry, START + seconds(6));
+    BOOST_CHECK(coldUntil() <= START + seconds(6));
+    directory.setServices({}, bounds);
+    BOOST_CHECK(!directory.find("t1")->toDispatchTarget(START).warmUpLimit);
+}
+
 BOOST_AUTO_TEST_CASE(statement_of_an_earlier_run_of_the_target_is_ignored)
 {
     target_directory directory;
--- a/tests/unit/dispatchtest.cpp
+++ b/tests/unit/dispatchtest.cpp
@@ -49,7 +49,7 @@
 {
     std::vector<dispatch_target> targets;
     for (int index = 0; index < count; ++index)
-        targets.push_back({"t" + std::to_string(index), dataCentre, 2, false, milliseconds(0)});
+        targets.push_back({"t" + std::to_string(index), dataCentre, 2, false});
     return targets;
 }
 
@@ -265,7 +265,7 @@
 {
     service_dispatcher dispatcher({}, nullptr);
     auto targets = makeTargets(1, "b");
-    targets.push_back({"near", "a", 1, false, milliseconds(0)});
+    targets.push_back({"near", "a", 1, false});
     dispatcher.setTargets(targets, START);
     dispatch_decisions decisions;
     dispatcher.enqueue(makeRequest(1, START, milliseconds(400), milliseconds(1500)), START,
