--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -751,10 +751,21 @@
     // The coordinator may know better that the target has started again.
     if (isBoundByStatement)
         m_onStale(store_stream::Targets);
-    finish(decision,
-           {{message.targetHost, message.targetPort},
-            (isOwnListPreferred(message) || isBoundByStatement)
-                    && acceptsNoRequests(decision, isKeyed)});
+    const bool isRefused = ((isOwnListPreferred(message) || isBoundByStatement)
+                            && acceptsNoRequests(decision, isKeyed))
+            || (isCoordinatorListStale && isUnlimitedWhileCold(decision, message));
+    finish(decision, {{message.targetHost, message.targetPort}, isRefused});
+}
+
+/// @return whether a coordinator whose list of targets is outdated places a request without regard
+///     to a warm-up limit that this instance's newer list shows.
+bool placement_client::isUnlimitedWhileCold(const dispatch_decision &decision,
+                                            const place_answer_message &message) const
+{
+    const auto *listed = m_targets.find(decision.target);
+    return listed && listed->warmUpLimit && !decision.sendBefore
+            && boot_clock::now() < listed->warmUp.coldUntil()
+            && m_streamAge(store_stream::Targets) < milliseconds(message.targetListAgeMs);
 }
 
 /// @return whether this instance's list of targets counts more than the coordinator's. A
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -163,6 +163,8 @@
     void finish(const dispatch_decision &decision, const placement &where);
     bool hasOwnStatement(const target_id &target) const;
     bool isOwnListPreferred(const place_answer_message &message) const;
+    bool isUnlimitedWhileCold(const dispatch_decision &decision,
+                              const place_answer_message &message) const;
     bool acceptsNoRequests(const dispatch_decision &decision, bool isKeyed) const;
     void reportMissing(const service_name &service);
     void queryPeers(const service_name &service);
--- a/tests/loadmodel/loadmodel.cpp
+++ b/tests/loadmodel/loadmodel.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds KEY_ADVANCE_INTERVAL{50};
 constexpr milliseconds HOLDER_UPDATE_INTERVAL{250};
 constexpr std::uint64_t FIRST_TERM = 1;
+constexpr double COLD_SLOWNESS = 2.0;
 
 instant startTime()
 {
@@ -129,6 +130,8 @@
         auto &state = m_callers[caller];
         if (!decision.target.empty()) {
             m_placed[decision.token] = {caller, decision.target, m_now};
+            if (isCold(decision.target))
+                m_placedOnCold[decision.target].push_back(m_now);
             at(m_now + NETWORK_DELAY, [this, token = decision.token, id = decision.target] {
                 auto &target = m_targets.at(id);
                 target.keys[token] = m_callers[m_placed.at(token).caller].key;
@@ -170,10 +173,21 @@
     }
 }
 
+std::size_t load_model::positionOf(const target_id &id) const
+{
+    return static_cast<std::size_t>(std::distance(m_targets.begin(), m_targets.find(id)));
+}
+
+bool load_model::isCold(const target_id &id) const
+{
+    const auto time = m_now - m_start;
+    const auto &spell = m_pattern.coldSpell;
+    return time >= spell.begin && time < spell.end && positionOf(id) < spell.targets;
+}
+
 bool load_model::isFaulty(const target_id &id) const
 {
-    const auto position =
-            static_cast<std::size_t>(std::distance(m_targets.begin(), m_targets.find(id)));
+    const auto position = positionOf(id);
     const auto time = m_now - m_start;
     const auto &spell = m_pattern.faultySpell;
     return time >= spell.begin && time < spell.end && position < spell.targets;
@@ -182,8 +196,9 @@
 /// @return the factor by which a target is slower than usual at present.
 double load_model::slownessOf(const target_id &id) const
 {
-    const auto position =
-            static_cast<std::size_t>(std::distance(m_targets.begin(), m_targets.find(id)));
+    if (isCold(id))
+        return COLD_SLOWNESS;
+    const auto position = positionOf(id);
     for (const auto &spell : m_pattern.slowSpells) {
         const auto time = m_now - m_start;
         if (time >= spell.begin && time < spell.end && position < spell.targets)
@@ -242,6 +257,9 @@
     std::vector<key_holder> holders;
     for (const auto &[id, target] : m_targets) {
         targets.push_back({id, "a", SLOTS});
+        targets.back().warmUpLimit = m_pattern.warmUpLimit;
+        if (isCold(id))
+            targets.back().coldUntil = m_start + m_pattern.coldSpell.end;
         holders.push_back({id, 1, 0.0, false});
     }
     m_dispatcher->setTargets(targets, m_now);
@@ -329,13 +347,33 @@
 }
 
 double load_model::movedShare() const
+{
+    return movedShare(milliseconds(0), milliseconds::max());
+}
+
+double load_model::movedShare(milliseconds from, milliseconds to) const
 {
     double keys = 0.0;
-    for (const auto &[time, released] : m_released)
-        keys += static_cast<double>(released.size());
+    for (const auto &[time, released] : m_released) {
+        if (time - m_start >= from && time - m_start < to)
+            keys += static_cast<double>(released.size());
+    }
     return keys / static_cast<double>(KEY_COUNT);
 }
 
+std::size_t load_model::mostAtColdTarget() const
+{
+    std::size_t most = 0;
+    for (const auto &[id, times] : m_placedOnCold) {
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto last =
+                    std::lower_bound(first, times.end(), *first + std::chrono::seconds(1));
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+    }
+    return most;
+}
+
 std::size_t load_model::moveCount(key_number key, milliseconds from, milliseconds to) const
 {
     return static_cast<std::size_t>(
--- a/tests/loadmodel/loadmodel.h
+++ b/tests/loadmodel/loadmodel.h
@@ -35,6 +35,13 @@
     double factor = 1.0;     ///< Multiplies their service times.
 };
 
+/// A spell in which some targets are cold, and with that twice as slow.
+struct cold_spell {
+    std::chrono::milliseconds begin{0};
+    std::chrono::milliseconds end{0};
+    std::size_t targets = 0; ///< The first ones in the order of their names.
+};
+
 /// Load pattern of a keyed service.
 struct load_pattern {
     std::vector<model_target> targets;
@@ -50,6 +57,8 @@
     std::vector<slow_spell> slowSpells;
     /// Period in which some targets answer all requests with an error at once.
     slow_spell faultySpell;
+    cold_spell coldSpell;
+    std::optional<warm_up_limit> warmUpLimit;
     std::chrono::milliseconds objective{400};
     std::chrono::milliseconds deadline{1000};
     /// Whether a rejected caller returns once after the proposed delay.
@@ -96,6 +105,12 @@
     /// @return the keys that were released, as a multiple of all keys.
     double movedShare() const;
 
+    /// @return the same for a period.
+    double movedShare(std::chrono::milliseconds from, std::chrono::milliseconds to) const;
+
+    /// @return the most requests that were placed on a cold target within a second.
+    std::size_t mostAtColdTarget() const;
+
     /// @return how often a key was released by its owner in a period.
     std::size_t moveCount(key_number key, std::chrono::milliseconds from,
                           std::chrono::milliseconds to) const;
@@ -146,6 +161,8 @@
     void send(std::size_t caller);
     void decide(const dispatch_decisions &decisions);
     void startRuns(target_state &target, const target_id &id);
+    std::size_t positionOf(const target_id &id) const;
+    bool isCold(const target_id &id) const;
     bool isFaulty(const target_id &id) const;
     double slownessOf(const target_id &id) const;
     void finishRun(const target_id &id, request_token token, run_result result);
@@ -173,6 +190,7 @@
     std::unique_ptr<service_dispatcher> m_dispatcher;
     std::unique_ptr<key_coordinator> m_coordinator;
     std::vector<std::pair<instant, key_range>> m_released; ///< All releases.
+    std::map<target_id, std::vector<instant>> m_placedOnCold;
     std::uint64_t m_generation = 0; ///< Of the coordinator; its orders end with it.
     bool m_isAdvanceScheduled = false;
 };
--- a/tests/loadmodel/loadmodeltest.cpp
+++ b/tests/loadmodel/loadmodeltest.cpp
@@ -134,3 +134,34 @@
         BOOST_CHECK_LE(model.moveCount(HOT_KEY, milliseconds(7000), milliseconds(11000)), 2U);
     }
 }
+
+BOOST_AUTO_TEST_CASE(cold_targets_give_keys_away_and_get_them_back_without_a_flood_of_moves)
+{
+    auto pattern = clusteredPattern();
+    pattern.coldSpell = {milliseconds(6000), milliseconds(9000), 8};
+    pattern.warmUpLimit = warm_up_limit{4.0, 1.5, 8.0};
+    load_outcome spell;
+    load_outcome afterwards;
+    double movedInSpell = 0.0;
+    double movedAfterwards = 0.0;
+    double movedBefore = 0.0;
+    for (auto seed = FIRST_SEED; seed <= LAST_SEED; ++seed) {
+        load_model model(pattern, seed);
+        model.run();
+        BOOST_CHECK_LE(model.mostAtColdTarget(), 14U);
+        spell.add(model.outcome(milliseconds(6000), milliseconds(9000)));
+        afterwards.add(model.outcome(milliseconds(9000), milliseconds(13000)));
+        movedBefore += model.movedShare(milliseconds(2000), milliseconds(6000)) / 12;
+        movedInSpell += model.movedShare(milliseconds(6000), milliseconds(9000)) / 12;
+        movedAfterwards += model.movedShare(milliseconds(9000), milliseconds(13000)) / 12;
+    }
+    BOOST_CHECK_LT(spell.unservedShare(), 0.03);
+    BOOST_CHECK_GT(spell.onTimeShare(), 0.85);
+    BOOST_CHECK_LT(afterwards.unservedShare(), 0.02);
+    // As many as the targets that were cold had given away, at most.
+    BOOST_CHECK_LT(movedAfterwards, movedInSpell);
+    BOOST_TEST_MESSAGE("unserved " << spell.unservedShare() << ", on time " << spell.onTimeShare()
+                                   << ", afterwards " << afterwards.unservedShare() << ", moved "
+                                   << movedBefore << ", " << movedInSpell << ", "
+                                   << movedAfterwards);
+}
--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -472,3 +472,89 @@
     context.run_for(target_directory::REGISTRATION_TIME);
     BOOST_CHECK(isRefused() == false);
 }
+
+BOOST_FIXTURE_TEST_CASE(local_placements_leave_cold_targets_with_a_limit_alone, client_instance)
+{
+    listTargetsWithoutCoordinator();
+    routed_service service;
+    service.name = SERVICE;
+    service.warmUpRate = 4.0;
+    targets.setServices({service}, {});
+    auto entry = targets.find("a")->entry;
+    entry.remainingWarmUp = milliseconds(3000);
+    targets.noteWritten("a", boot_clock::now());
+    BOOST_CHECK(targets.update(entry, boot_clock::now()));
+    client.updateTargets();
+    for (int round = 0; round < 4; ++round) {
+        decisions.clear();
+        place();
+        context.run_for(milliseconds(300));
+        BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+        BOOST_CHECK_EQUAL(decisions.front().target, "b");
+        client.report(SERVICE,
+                      {decisions.front().token, run_result::Answered, milliseconds(5), {}});
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(placement_on_a_cold_target_counts_for_a_limited_time, client_instance)
+{
+    listTargetsWithoutCoordinator();
+    routed_service service;
+    service.name = SERVICE;
+    service.warmUpRate = 4.0;
+    targets.setServices({service}, {});
+    auto entry = targets.find("a")->entry;
+    entry.remainingWarmUp = milliseconds(30000);
+    targets.noteWritten("a", boot_clock::now());
+    targets.update(entry, boot_clock::now());
+    other_instance coordinator(context, COORDINATOR_PORT);
+    place_answer_message answer;
+    answer.service = SERVICE;
+    answer.target = "a";
+    answer.targetHost = HOST;
+    answer.targetPort = 1;
+    coordinator.handleMessage = [&](const udp_endpoint &peer, const peer_message &message) {
+        const auto *asked = std::get_if<place_request_message>(&message);
+        if (!asked)
+            return;
+        answer.token = asked->token;
+        coordinator.channel.send(peer, answer);
+    };
+    client.setStreamAge([](store_stream) { return milliseconds(500); });
+    ownership_record record;
+    record.service = SERVICE;
+    record.term = 3;
+    record.coordinator = textOf(COORDINATOR_PORT);
+    record.coordinatorRun = 1;
+    ownCoordination.onOwnership({record}, 3, boot_clock::now());
+    std::optional<instant> sendBefore;
+    const auto isRefused = [&] {
+        std::optional<bool> isLeaving;
+        dispatch_request request;
+        request.arrival = boot_clock::now();
+        request.objective = request.arrival + milliseconds(2000);
+        request.deadline = request.objective;
+        client.place(
+                SERVICE, request,
+                [&](const dispatch_decision &decision, const placement_client::placement &where) {
+                    sendBefore = decision.sendBefore;
+                    isLeaving = where.isLeaving;
+                });
+        context.run_for(milliseconds(30));
+        return isLeaving;
+    };
+    BOOST_CHECK(isRefused() == false);
+    BOOST_CHECK(!sendBefore);
+    // The coordinator is disconnected from the store and takes the target for a warm one.
+    answer.targetListAgeMs = 2000;
+    BOOST_CHECK(isRefused() == true);
+    answer.hasSendLimit = true;
+    answer.sendWithinMs = 100;
+    const auto before = boot_clock::now();
+    BOOST_CHECK(isRefused() == false);
+    BOOST_REQUIRE(sendBefore);
+    BOOST_CHECK(*sendBefore > before && *sendBefore < before + milliseconds(130));
+    answer.sendWithinMs = -20;
+    BOOST_CHECK(isRefused() == false);
+    BOOST_CHECK(*sendBefore < boot_clock::now());
+}
--- a/tests/unit/warmuptest.cpp
+++ b/tests/unit/warmuptest.cpp
@@ -78,7 +78,7 @@
         return std::stoi(id.substr(1)) < load.coldTargets;
     };
     const auto take = [&](std::size_t placer, const dispatch_decisions &decisions, instant now) {
-        std::uniform_int_distribution<int> lateness(0, load.latestArrival.count());
+        std::uniform_int_distribution<std::int64_t> lateness(0, load.latestArrival.count());
         for (const auto &decision : decisions) {
             if (decision.target.empty())
                 continue;
