--- a/include/clementinebeam/warmup/warmuptime.h
+++ b/include/clementinebeam/warmup/warmuptime.h
@@ -6,7 +6,7 @@
 
 namespace clementinebeam {
 
-/// Until when a target is cold, by what it wrote about that and by what operators said.
+/// Until when a target is cold, by what it wrote about that.
 ///
 /// A target writes its remaining warm-up time with each heartbeat, and may become cold again at any
 /// moment. A value counts from its reading on, which is later than its writing, so that a target
@@ -21,17 +21,13 @@
     /// @param now time of the reading.
     void note(std::chrono::milliseconds remaining, instant writtenAt, instant now);
 
-    /// Makes the target cold at least until a time, whatever it writes.
-    void extendTo(instant until);
-
     /// @return until when the target is cold; may be in the past.
-    instant coldUntil() const;
+    instant coldUntil() const { return m_until; }
 
 private:
     std::chrono::milliseconds m_remaining{0}; ///< The value that was read last.
     instant m_writtenAt{};
     instant m_until{};
-    instant m_extendedTo{};
 };
 
 } // namespace clementinebeam
--- a/src/warmup/internal/warmuptime.cpp
+++ b/src/warmup/internal/warmuptime.cpp
@@ -1,7 +1,5 @@
 #include "clementinebeam/warmup/warmuptime.h"
 
-#include <algorithm>
-
 namespace clementinebeam {
 
 void warm_up_time::note(std::chrono::milliseconds remaining, instant writtenAt, instant now)
@@ -14,14 +12,4 @@
     m_until = now + remaining;
 }
 
-void warm_up_time::extendTo(instant until)
-{
-    m_extendedTo = std::max(m_extendedTo, until);
-}
-
-instant warm_up_time::coldUntil() const
-{
-    return std::max(m_until, m_extendedTo);
-}
-
 } // namespace clementinebeam
