--- a/src/gateway/internal/candidacy.h
+++ b/src/gateway/internal/candidacy.h
@@ -15,8 +15,8 @@
 /// share of a processor this load fills the share, so that the coordinator answers late and others
 /// take it for silent. On a slow link, these datagrams wait behind the ownership records that it
 /// stores and reads. Large instances, with a large share and a fast link, are therefore candidates
-/// from the start. Small ones become candidates only if a coordinator is missing for longer than a takeover among the
-/// larger ones takes.
+/// from the start. Small ones become candidates only if a coordinator is missing for longer than a
+/// takeover among the larger ones takes.
 ///
 /// The store divides a fixed number of parts among the members of the group, and every member pays
 /// for its membership with calls to the store. In a large fleet most members would hold no part. A
--- a/src/gateway/internal/placementclient.cpp
+++ b/src/gateway/internal/placementclient.cpp
@@ -109,6 +109,10 @@
     message.retryAfterMs = decision.retryAfter.count();
     message.waitedUs = decision.waited.count();
     message.queueLength = static_cast<std::uint32_t>(decision.queueLength);
+    message.hasSendLimit = decision.sendBefore.has_value();
+    if (decision.sendBefore)
+        message.sendWithinMs =
+                std::chrono::floor<milliseconds>(*decision.sendBefore - boot_clock::now()).count();
     return message;
 }
 
@@ -251,6 +255,7 @@
     settings.retryCapacity = LOCAL_RETRY_CAPACITY;
     // The limit is divided by the number of instances, a fixed amount is not.
     settings.ownerLimitExtra = 0.0;
+    settings.mayUseColdTargets = false;
     // Requests with a key wait for its owner, also while the owners are not known yet.
     item.dispatcher = std::make_unique<service_dispatcher>(settings, &item.owners);
     item.timer = std::make_unique<boost::asio::steady_timer>(m_context);
@@ -771,9 +776,11 @@
     const bool isOwnListNeeded = coordinators.age > MAX_COORDINATOR_LIST_AGE
             || mayListGoneTargets(ownListQuality(), coordinators);
     if (!message.target.empty() && isOwnListNeeded && waitForList(item)) {
-        item->timer.async_wait([this, peer, message](boost::system::error_code error) {
+        auto delayed = message;
+        delayed.sendWithinMs -= LIST_WAIT.count();
+        item->timer.async_wait([this, peer, delayed](boost::system::error_code error) {
             if (!error)
-                handlePlacement(peer, message);
+                handlePlacement(peer, delayed);
         });
         return;
     }
@@ -784,6 +791,8 @@
     decision.retryAfter = milliseconds(message.retryAfterMs);
     decision.waited = microseconds(message.waitedUs);
     decision.queueLength = message.queueLength;
+    if (message.hasSendLimit)
+        decision.sendBefore = boot_clock::now() + milliseconds(message.sendWithinMs);
     if (!decision.target.empty())
         m_placed[message.token] = {decider::Peer, peer};
     const bool isKeyed = item->request.key.has_value();
@@ -793,12 +802,24 @@
         m_onStale(store_stream::Targets);
     const bool isEvacuated = isEvacuatedByOwnView(message);
     const bool isUnlisted = isEvacuated && !m_targets.find(decision.target);
-    finish(decision,
-           {{message.targetHost, message.targetPort},
-             isUnlisted
-                     || ((isOwnListPreferred(ownListQuality(), coordinators) || isBoundByStatement
-                          || isEvacuated)
-                         && acceptsNoRequests(decision, isKeyed))});
+    const bool isOwnViewPreferred =
+            isOwnListPreferred(ownListQuality(), coordinators) || isBoundByStatement || isEvacuated;
+    const bool isRefused = isUnlisted
+            || (isOwnViewPreferred && acceptsNoRequests(decision, isKeyed))
+            || (coordinators.age > MAX_COORDINATOR_LIST_AGE
+                && isUnlimitedWhileCold(decision, message));
+    finish(decision, {{message.targetHost, message.targetPort}, isRefused});
+}
+
+/// @return whether a coordinator whose list of targets is outdated places a request without regard
+///     to a warm-up limit that this instance's newer list shows.
+bool placement_client::isUnlimitedWhileCold(const dispatch_decision &decision,
+                                            const place_answer_message &message) const
+{
+    const auto *listed = m_targets.find(decision.target);
+    return listed && listed->warmUpLimit && !decision.sendBefore
+            && boot_clock::now() < listed->warmUp.coldUntil()
+            && m_streamAge(store_stream::Targets) < milliseconds(message.targetListAgeMs);
 }
 
 list_quality placement_client::ownListQuality() const
--- a/src/gateway/internal/placementclient.h
+++ b/src/gateway/internal/placementclient.h
@@ -179,6 +179,8 @@
     bool hasOwnStatement(const target_id &target) const;
     list_quality ownListQuality() const;
     list_quality coordinatorListQuality(const place_answer_message &message) const;
+    bool isUnlimitedWhileCold(const dispatch_decision &decision,
+                              const place_answer_message &message) const;
     bool acceptsNoRequests(const dispatch_decision &decision, bool isKeyed) const;
     void reportMissing(const service_name &service);
     void queryPeers(const service_name &service);
--- a/src/gateway/internal/placementmessages.h
+++ b/src/gateway/internal/placementmessages.h
@@ -80,13 +80,15 @@
     std::int64_t storeServedMs = 0;   ///< See target_directory::storeServedFor().
     bool hasDeferredRemovals = false; ///< The sender's list keeps targets that may have left.
     evacuations_message evacuations{};
+    bool hasSendLimit = false;
+    std::int64_t sendWithinMs = 0; ///< Time left to send the request, if that is limited.
 
     template <class archive_type>
     void serialize(archive_type &archive)
     {
         archive(service, token, target, targetHost, targetPort, reason, retryAfterMs, waitedUs,
                 queueLength, configuration, targetListAgeMs, configurationAgeMs, rank, peer,
-                storeServedMs, hasDeferredRemovals, evacuations);
+                storeServedMs, hasDeferredRemovals, evacuations, hasSendLimit, sendWithinMs);
     }
 };
 
