--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -38,6 +38,10 @@
     /// @return the wait status of waitpid() after SIGKILL and SIGTERM, else 0.
     int signalProcess(const std::string &name, int signal);
 
+    /// @param name as in signalProcess().
+    /// @return the id of a process that was started.
+    pid_t processId(const std::string &name) const { return m_processes.at(name); }
+
     /// Sets faults of the platform stand-in; see platform_faults.
     void setFaults(const nlohmann::json &faults);
     /// Changes whether a target drains, and its service time.
--- a/tests/soak/gatewayprocess.h
+++ b/tests/soak/gatewayprocess.h
@@ -33,6 +33,9 @@
 
     const std::string &name() const { return m_name; }
 
+    /// @return the id of the running process; 0 if there is none.
+    pid_t id() const { return m_process; }
+
 private:
     const std::string m_name;
     const std::string m_settingsPath;
