--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace clementinebeam {
 
@@ -51,6 +53,10 @@
     /// @param done called once, unless close() is called first.
     void exchange(http_call call, answer_filter filter, completion done);
 
+    /// @return the body of the last call, which the connection no longer needs once the exchange
+    /// has ended.
+    std::string takeCallBody() { return std::exchange(m_call.body(), {}); }
+
     /// Closes the connection at once, without calling the completion of a running exchange.
     void close();
 
--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "clementinebeam/admission/connectionpolicy.h"
+#include "clementinebeam/admission/memoryaccount.h"
 #include "clementinebeam/asynchttp/httpmessages.h"
 
 #include <array>
@@ -7,12 +9,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <unordered_set>
+#include <string_view>
 
 namespace clementinebeam {
 
@@ -42,13 +45,27 @@
 
     /// @return the limits for requests; they are read again for each request.
     virtual const server_limits &limits() const = 0;
+
+    /// @return the account for what connections hold; null if there is none.
+    virtual std::shared_ptr<memory_account> memory() { return {}; }
+
+    /// Makes the answer to a request that is refused before it was handled; it never is.
+    /// @param head the request's head, as far as it is known.
+    /// @param status the status code.
+    /// @param reason why, a short name.
+    virtual http_answer refuse(const http_call &head, unsigned status, std::string_view reason);
+
+    /// Notes that a connection was closed for a limit, without an answer.
+    /// @param reason why, a short name.
+    virtual void onClosedForLimit(std::string_view /*reason*/) { }
 };
 
 /// The server side of one HTTP/1.1 connection.
 ///
 /// Continues to read while a request is being handled, so that a close by the peer is noticed at
 /// once.
-class server_connection : public std::enable_shared_from_this<server_connection>
+class server_connection : public memory_claim,
+                          public std::enable_shared_from_this<server_connection>
 {
 public:
     using disconnect_handler = std::function<void()>;
@@ -78,19 +95,38 @@
     /// @return whether a request is being read, handled or answered, or finish() waits for one.
     bool isBusy() const
     {
+        if (m_isDraining)
+            return false;
         const bool hasPartialRequest = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
         return m_isHandling || m_isWriting || m_isAwaitingRequest || hasPartialRequest;
     }
 
     bool isClosed() const { return m_isClosed; }
 
+    /// @return what the policy for connections needs to know.
+    connection_summary summary() const;
+
+protected:
+    void giveUp() override;
+    bool mayGiveUp() const override;
+    bool isHandling() const override { return m_isHandling; }
+
 private:
     static constexpr std::size_t READ_SIZE = 4096; ///< Bytes that one read may return.
 
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void startRead();
-    void onBytes();
+    void onBytes(std::size_t size);
+    void measureHead();
+    void handleCall();
+    void releaseReceived();
+    void refuseCall(unsigned status, std::string_view reason);
+    void continueWrite();
+    void onAnswerSent();
+    void startDraining();
+    std::size_t neededBytes(std::size_t arriving) const;
+    void ignoreSentAhead();
     void parse();
     void onParseError(const boost::system::error_code &error);
     void sendContinue();
@@ -107,53 +143,27 @@
     std::optional<request_parser> m_parser;
     http_answer m_answer;
     disconnect_handler m_onDisconnect;
+    std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>>
+            m_serializer;
+    instant m_stageStart{};          ///< When the connection became idle or began to receive.
+    instant m_lastProgress{};        ///< When bytes of the current answer were last sent.
+    std::size_t m_messageBytes = 0;  ///< Memory of the request being handled, or of its answer.
+    std::size_t m_headBytes = 0;     ///< Memory of the current request's fields.
+    std::size_t m_receivedBytes = 0; ///< Of the current request.
+    std::size_t m_drainedBytes = 0;  ///< Dropped behind a refusal.
     bool m_isReading = false;
     bool m_isHandling = false;
     bool m_isWriting = false;
     bool m_isLastRequest = false;
     bool m_isClosed = false;
     bool m_hasSentContinue = false;
+    bool m_isRefused = false;         ///< The request was refused before it was complete.
+    bool m_isDraining = false;        ///< Bytes behind a refusal are dropped, then it closes.
+    bool m_isIgnoringAhead = false;   ///< What is sent ahead is not read any more.
     bool m_isUnused = true;           ///< No byte has been received.
     bool m_isAwaitingRequest = false; ///< finish() keeps the connection open for one more request.
 };
 
-/// Accepts connections on one address and owns them.
-class server_listener
-{
-public:
-    /// @param context the event loop.
-    /// @param handler handles the requests; has to outlive the listener.
-    server_listener(boost::asio::io_context &context, i_request_handler &handler);
-
-    /// @param address where to listen.
-    /// @return an error if the address can't be used.
-    std::error_code listen(const tcp_endpoint &address);
-
-    /// Accepts the connections that wait in the accept queue, then no more.
-    void stopAccepting();
-
-    /// Calls finish() on all connections, and on those that are accepted later.
-    void finishAll();
-
-    /// @return whether isBusy() holds for any connection.
-    bool isBusy();
-
-    /// @return the number of connections, including closed ones that were not removed yet.
-    std::size_t connectionCount() const { return m_connections.size(); }
-
-private:
-    void accept();
-    void addConnection(boost::asio::ip::tcp::socket socket);
-    void removeClosed();
-
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_retryTimer;
-    i_request_handler &m_handler;
-    std::unordered_set<std::shared_ptr<server_connection>> m_connections;
-    std::size_t m_acceptedSinceSweep = 0;
-    bool m_isFinishing = false; ///< New connections close after one request.
-};
-
 /// @param status the status code.
 /// @param body the text of the body.
 /// @return an answer that this process gives on its own behalf, ready to be sent.
--- a/include/clementinebeam/gateway/gatewaysettings.h
+++ b/include/clementinebeam/gateway/gatewaysettings.h
@@ -25,6 +25,8 @@
     double processorShare = 1.0;
     /// Memory limit of the process in bytes; the default suits the smallest supported instance.
     std::size_t memory = 160UL << 20U;
+    /// Descriptors that the process may open, if fewer than the system's limit for the process.
+    std::size_t descriptors = 1UL << 20U;
     /// Interval at which targets write their entries to the store.
     std::chrono::milliseconds targetHeartbeat{1000};
     service_bounds bounds;
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -12,22 +12,41 @@
 
 namespace http = boost::beast::http;
 
+constexpr unsigned HTTP_BAD_REQUEST = 400;
+constexpr unsigned HTTP_BODY_TOO_LARGE = 413;
+constexpr unsigned HTTP_HEADER_TOO_LARGE = 431;
+constexpr unsigned HTTP_UNAVAILABLE = 503;
 /// Largest number of bytes buffered behind the current request; reading pauses at this number.
 constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
-/// Delay after a failed accept, for example when there are no more file descriptors.
-constexpr std::chrono::milliseconds ACCEPT_RETRY_DELAY{50};
 /// How long finish() keeps a connection open whose request may be in transit or is not read yet.
 constexpr std::chrono::milliseconds LAST_REQUEST_TIMEOUT{400};
-/// Number of accepted connections after which closed ones are removed.
-constexpr std::size_t SWEEP_INTERVAL = 32;
+/// How long, and for how many bytes, a refused request is read on, so that its caller, which may
+/// still be sending, can read the answer: a close with unread bytes would discard it.
+constexpr std::chrono::milliseconds DRAIN_TIME{1000};
+constexpr std::size_t MAX_DRAINED_BYTES = 1UL << 20U;
+/// An answer without progress for this time is one that its caller doesn't read.
+constexpr std::chrono::milliseconds STALL_TIME{500};
+/// Memory of one field of a head besides its text.
+constexpr std::size_t FIELD_BYTES = 96;
+/// A larger buffer is released when it becomes empty.
+constexpr std::size_t MAX_IDLE_BUFFER = 16384;
 
 unsigned statusOf(const boost::system::error_code &error)
 {
     if (error == http::error::header_limit)
-        return 431;
+        return HTTP_HEADER_TOO_LARGE;
     if (error == http::error::body_limit)
-        return 413;
-    return 400;
+        return HTTP_BODY_TOO_LARGE;
+    return HTTP_BAD_REQUEST;
+}
+
+std::string_view reasonOf(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit)
+        return "header_limit";
+    if (error == http::error::body_limit)
+        return "body_limit";
+    return "malformed_request";
 }
 
 } // namespace
@@ -42,12 +61,20 @@
     return answer;
 }
 
+http_answer i_request_handler::refuse(const http_call & /*head*/, unsigned status,
+                                      std::string_view reason)
+{
+    return makeOwnAnswer(status, std::string(reason) + '\n');
+}
+
 server_connection::server_connection(boost::asio::ip::tcp::socket socket,
                                      i_request_handler &handler)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_handler(handler)
-{ }
+{
+    join(handler.memory());
+}
 
 void server_connection::start()
 {
@@ -57,6 +84,18 @@
     startRead();
 }
 
+connection_summary server_connection::summary() const
+{
+    auto stage = connection_stage::Idle;
+    if (m_isHandling)
+        stage = connection_stage::Handling;
+    else if (m_isWriting)
+        stage = connection_stage::Sending;
+    else if (!m_isDraining && isBusy())
+        stage = connection_stage::Receiving;
+    return {stage, m_stageStart, m_receivedBytes};
+}
+
 void server_connection::resetParser()
 {
     m_parser.emplace();
@@ -64,20 +103,27 @@
     m_parser->header_limit(m_handler.limits().headerBytes);
     m_parser->body_limit(m_handler.limits().bodyBytes);
     m_hasSentContinue = false;
+    m_headBytes = 0;
+    m_receivedBytes = 0;
+    m_stageStart = boot_clock::now();
 }
 
 void server_connection::armTimer(std::chrono::milliseconds limit)
 {
     m_timer.expires_after(limit);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->m_isHandling && !self->m_isWriting)
-            self->close();
+        if (error || self->m_isHandling || self->m_isClosed)
+            return;
+        if (self->m_isWriting)
+            self->m_handler.onClosedForLimit("answer_unread");
+        self->close();
     });
 }
 
 void server_connection::startRead()
 {
-    if (m_isReading || m_isClosed || m_buffer.size() >= MAX_PIPELINED_BYTES)
+    const bool isPaused = m_isIgnoringAhead && !m_isDraining;
+    if (m_isReading || m_isClosed || isPaused || m_buffer.size() >= MAX_PIPELINED_BYTES)
         return;
     m_isReading = true;
     m_socket.async_read_some(
@@ -90,29 +136,70 @@
                     self->close();
                     return;
                 }
-                boost::asio::buffer_copy(self->m_buffer.prepare(size),
-                                         boost::asio::buffer(self->m_received, size));
-                self->m_buffer.commit(size);
-                self->onBytes();
+                self->onBytes(size);
             });
 }
 
-void server_connection::onBytes()
+void server_connection::onBytes(std::size_t size)
 {
     const scope_exit readOn([this] { startRead(); });
-    if (!m_isHandling && !m_isWriting)
+    const bool isReceiving = !m_isHandling && !m_isWriting;
+    if (m_isRefused || m_isIgnoringAhead) {
+        m_drainedBytes += size;
+        if (m_drainedBytes > MAX_DRAINED_BYTES && !m_isWriting)
+            close();
+        return;
+    }
+    if (!tryHold(neededBytes(size))) {
+        if (isReceiving)
+            refuseCall(HTTP_UNAVAILABLE, "memory");
+        else
+            ignoreSentAhead();
+        return;
+    }
+    boost::asio::buffer_copy(m_buffer.prepare(size), boost::asio::buffer(m_received, size));
+    m_buffer.commit(size);
+    if (isReceiving)
         parse();
 }
 
+/// @return the memory for all that is held, with bytes that are to be added. Buffers that grow are
+/// held twice while they are copied.
+std::size_t server_connection::neededBytes(std::size_t arriving) const
+{
+    const auto buffered = m_buffer.size() + arriving;
+    const auto capacity = m_buffer.capacity();
+    const auto bytes = buffered > capacity ? capacity + 2 * buffered : capacity;
+    if (m_isHandling || m_isWriting)
+        return bytes + m_messageBytes;
+    const auto &body = m_parser->get().body();
+    const bool isGrowing = body.size() + buffered > body.capacity();
+    return bytes + m_headBytes + buffered + (isGrowing ? 2 : 1) * body.size();
+}
+
+/// What is sent ahead is dropped unread, and the connection closes after the current answer.
+void server_connection::ignoreSentAhead()
+{
+    m_handler.onClosedForLimit("sent_ahead");
+    m_isLastRequest = true;
+    m_isIgnoringAhead = true;
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    hold(neededBytes(0));
+}
+
 void server_connection::parse()
 {
     m_isUnused = false;
-    if (!m_parser->got_some())
+    if (!m_parser->got_some()) {
+        m_stageStart = boot_clock::now();
         armTimer(m_handler.limits().headerTimeout);
+    }
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         boost::system::error_code error;
         const auto consumed = m_parser->put(m_buffer.data(), error);
         m_buffer.consume(consumed);
+        m_receivedBytes += consumed;
         if (error && error != http::error::need_more) {
             onParseError(error);
             return;
@@ -120,14 +207,38 @@
         if (error || consumed == 0)
             break;
     }
-    if (!m_parser->is_done()) {
-        sendContinue();
+    if (m_parser->is_header_done() && (m_headBytes == 0 || m_parser->is_done()))
+        measureHead();
+    if (!tryHold(neededBytes(0)) || (m_parser->is_done() && !mayHandle())) {
+        refuseCall(HTTP_UNAVAILABLE, "memory");
         return;
     }
+    if (m_parser->is_done())
+        handleCall();
+    else if (m_buffer.size() >= MAX_PIPELINED_BYTES)
+        refuseCall(HTTP_HEADER_TOO_LARGE, "unparsed_bytes"); // For example, an endless trailer.
+    else if (m_parser->content_length().value_or(0) > largestHold())
+        refuseCall(HTTP_UNAVAILABLE, "memory");
+    else
+        sendContinue();
+}
+
+void server_connection::measureHead()
+{
+    m_headBytes = m_parser->get().target().size();
+    for (const auto &field : m_parser->get())
+        m_headBytes += field.name_string().size() + field.value().size() + FIELD_BYTES;
+}
+
+void server_connection::handleCall()
+{
     m_timer.cancel();
+    auto call = m_parser->release();
+    // The head is copied for forwarding.
+    m_messageBytes = 2 * m_headBytes + call.body().size();
     m_isHandling = true;
     m_isAwaitingRequest = false;
-    auto call = m_parser->release();
+    hold(neededBytes(0));
     if (!call.keep_alive())
         m_isLastRequest = true;
     m_handler.handle(std::move(call), shared_from_this());
@@ -151,9 +262,42 @@
 void server_connection::onParseError(const boost::system::error_code &error)
 {
     log_line(log_level::Info, "malformed_request").add("error", error.message());
+    refuseCall(statusOf(error), reasonOf(error));
+}
+
+/// Answers an incomplete request, which is not handled then.
+void server_connection::refuseCall(unsigned status, std::string_view reason)
+{
+    auto answer = m_handler.refuse(m_parser->get(), status, reason);
+    m_isRefused = true;
     m_isHandling = true;
     m_isLastRequest = true;
-    respond(makeOwnAnswer(statusOf(error), "malformed request\n"));
+    m_isAwaitingRequest = false;
+    releaseReceived();
+    respond(std::move(answer));
+}
+
+void server_connection::releaseReceived()
+{
+    std::string().swap(m_parser->get().body());
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+}
+
+void server_connection::giveUp()
+{
+    if (!m_isWriting && !m_isDraining && m_parser->got_some()) {
+        refuseCall(HTTP_UNAVAILABLE, "memory");
+        return;
+    }
+    m_handler.onClosedForLimit(m_isWriting ? "answer_unread" : "memory");
+    close();
+}
+
+bool server_connection::mayGiveUp() const
+{
+    const bool isStalled = m_isWriting && boot_clock::now() - m_lastProgress > STALL_TIME;
+    return !m_isHandling && (!m_isWriting || isStalled);
 }
 
 void server_connection::respond(http_answer answer)
@@ -166,21 +310,68 @@
     m_answer = std::move(answer);
     if (m_isLastRequest)
         m_answer.keep_alive(false);
-    http::async_write(m_socket, m_answer,
-                      [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-                          self->m_isWriting = false;
-                          if (self->m_isClosed)
-                              return;
-                          if (error || self->m_isLastRequest) {
-                              self->close();
-                              return;
-                          }
-                          self->resetParser();
-                          self->armTimer(self->m_handler.limits().idleTimeout);
-                          const scope_exit readOn([&self] { self->startRead(); });
-                          if (self->m_buffer.size() > 0)
-                              self->parse();
-                      });
+    m_lastProgress = boot_clock::now();
+    m_messageBytes = m_answer.body().capacity();
+    if (!hold(neededBytes(0)) && m_messageBytes > MAX_PIPELINED_BYTES) {
+        m_handler.onClosedForLimit("answer_memory");
+        close();
+        return;
+    }
+    m_serializer.emplace(m_answer);
+    continueWrite();
+}
+
+void server_connection::continueWrite()
+{
+    armTimer(m_handler.limits().idleTimeout);
+    http::async_write_some(
+            m_socket, *m_serializer,
+            [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+                if (self->m_isClosed)
+                    return;
+                self->m_lastProgress = boot_clock::now();
+                if (error)
+                    self->close();
+                else if (self->m_serializer->is_done())
+                    self->onAnswerSent();
+                else
+                    self->continueWrite();
+            });
+}
+
+void server_connection::onAnswerSent()
+{
+    m_isWriting = false;
+    m_messageBytes = 0;
+    m_serializer.reset();
+    m_answer = {};
+    if (m_isRefused || m_isIgnoringAhead) {
+        startDraining();
+        return;
+    }
+    if (m_isLastRequest) {
+        close();
+        return;
+    }
+    resetParser();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > MAX_IDLE_BUFFER)
+        m_buffer.shrink_to_fit();
+    hold(neededBytes(0));
+    armTimer(m_handler.limits().idleTimeout);
+    const scope_exit readOn([this] { startRead(); });
+    if (m_buffer.size() > 0)
+        parse();
+}
+
+void server_connection::startDraining()
+{
+    m_isDraining = true;
+    m_stageStart = boot_clock::now();
+    hold(0);
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(DRAIN_TIME);
+    startRead();
 }
 
 void server_connection::finish()
@@ -204,97 +395,13 @@
     m_isClosed = true;
     m_timer.cancel();
     closeQuietly(m_socket);
+    releaseReceived();
+    std::string().swap(m_answer.body());
+    hold(0);
     const auto onDisconnect = std::move(m_onDisconnect);
     m_onDisconnect = nullptr;
     if (onDisconnect)
         onDisconnect();
 }
 
-server_listener::server_listener(boost::asio::io_context &context, i_request_handler &handler)
-    : m_acceptor(context)
-    , m_retryTimer(context)
-    , m_handler(handler)
-{ }
-
-std::error_code server_listener::listen(const tcp_endpoint &address)
-{
-    const auto error = openAcceptor(m_acceptor, address);
-    if (!error)
-        accept();
-    return error;
-}
-
-void server_listener::accept()
-{
-    m_acceptor.async_accept(
-            [this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
-                const scope_exit acceptNext([this, error] {
-                    if (m_acceptor.is_open() && !error)
-                        accept();
-                });
-                // The connection may have been accepted just before the listener stopped.
-                if (!error)
-                    addConnection(std::move(socket));
-                if (error && m_acceptor.is_open()) {
-                    log_line(log_level::Warning, "accept_failed").add("error", error.message());
-                    m_retryTimer.expires_after(ACCEPT_RETRY_DELAY);
-                    m_retryTimer.async_wait([this](boost::system::error_code waitError) {
-                        if (!waitError)
-                            accept();
-                    });
-                }
-            });
-}
-
-void server_listener::addConnection(boost::asio::ip::tcp::socket socket)
-{
-    const auto connection = std::make_shared<server_connection>(std::move(socket), m_handler);
-    if (++m_acceptedSinceSweep >= SWEEP_INTERVAL)
-        removeClosed();
-    m_connections.insert(connection);
-    connection->start();
-    if (m_isFinishing)
-        connection->finish();
-}
-
-void server_listener::removeClosed()
-{
-    m_acceptedSinceSweep = 0;
-    std::erase_if(m_connections, [](const auto &connection) { return connection->isClosed(); });
-}
-
-void server_listener::stopAccepting()
-{
-    boost::system::error_code error;
-    m_acceptor.non_blocking(true, error);
-    // Closing the acceptor would reset the connections that wait in its queue and lose their
-    // requests, so they are accepted first.
-    while (!error) {
-        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
-        m_acceptor.accept(socket, error);
-        if (!error)
-            addConnection(std::move(socket));
-    }
-    m_acceptor.close(error);
-}
-
-void server_listener::finishAll()
-{
-    m_isFinishing = true;
-    removeClosed();
-    const auto connections = m_connections;
-    for (const auto &connection : connections)
-        connection->finish();
-}
-
-bool server_listener::isBusy()
-{
-    removeClosed();
-    for (const auto &connection : m_connections) {
-        if (connection->isBusy())
-            return true;
-    }
-    return false;
-}
-
 } // namespace clementinebeam
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -4,6 +4,9 @@
 #include "clementinebeam/observability/boundedlog.h"
 #include "clementinebeam/observability/logline.h"
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace clementinebeam {
 
 namespace {
@@ -27,13 +30,46 @@
 constexpr milliseconds NOT_READY_RETRY_AFTER{300};
 /// Answers that are being received from targets may take up to 1/4 of the memory limit.
 constexpr std::size_t ANSWER_MEMORY_DIVISOR = 4;
+/// Refusals and closes for limits are logged as one summary line per interval.
+constexpr milliseconds LIMITS_LOG_INTERVAL{5000};
+
+/// @return the part of the process's memory for all that callers and targets send; the rest is for
+/// the process itself.
+std::size_t accountBytes(std::size_t memory)
+{
+    return memory / 8 * 5;
+}
+
+std::size_t descriptorLimit(const gateway_settings &settings)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return settings.descriptors;
+    return std::min<std::size_t>(settings.descriptors, limit.rlim_cur);
+}
 
 } // namespace
 
-page_server::page_server(std::string path, page_maker maker)
+page_server::page_server(std::string path, page_maker maker,
+                         std::shared_ptr<memory_account> account, gateway_metrics &metrics)
     : m_path(std::move(path))
     , m_maker(std::move(maker))
-{ }
+    , m_account(std::move(account))
+    , m_metrics(metrics)
+{
+    m_limits.bodyBytes = MAX_BODY_BYTES;
+}
+
+http_answer page_server::refuse(const http_call &head, unsigned status, std::string_view reason)
+{
+    m_metrics.countLimit(reason);
+    return i_request_handler::refuse(head, status, reason);
+}
+
+void page_server::onClosedForLimit(std::string_view reason)
+{
+    m_metrics.countLimit(reason);
+}
 
 void page_server::handle(http_call &&call, const std::shared_ptr<server_connection> &connection)
 {
@@ -45,8 +81,9 @@
                  i_cluster_store &store, const i_message_format &format)
     : m_settings(settings)
     , m_format(format)
+    , m_account(std::make_shared<memory_account>(accountBytes(settings.memory)))
     , m_targets(settings.bounds.drain, settings.targetHeartbeat)
-    , m_pool(context, settings.memory / ANSWER_MEMORY_DIVISOR)
+    , m_pool(context, settings.memory / ANSWER_MEMORY_DIVISOR, m_account)
     , m_quarantine(m_pool)
     , m_channel(context)
     , m_placement(context, m_channel, m_targets, m_quarantine)
@@ -68,8 +105,10 @@
     , m_lag(context)
     , m_exchangeEnvironment{context,      format,    m_placement, m_pool,
                             m_quarantine, m_metrics, m_lag,       settings.dataCentre}
-    , m_readinessServer(format.readinessPath(), [this] { return readinessPage(); })
-    , m_metricsServer("/metrics", [this] { return metricsPage(); })
+    , m_readinessServer(
+              format.readinessPath(), [this] { return readinessPage(); }, m_account, m_metrics)
+    , m_metricsServer(
+              "/metrics", [this] { return metricsPage(); }, m_account, m_metrics)
     , m_callerListener(context, *this)
     , m_readinessListener(context, m_readinessServer)
     , m_metricsListener(context, m_metricsServer)
@@ -84,6 +123,10 @@
 
 std::error_code gateway::start()
 {
+    const auto shares = shareDescriptors(descriptorLimit(m_settings));
+    m_callerListener.setConnectionLimit(shares.callers);
+    m_readinessListener.setConnectionLimit(shares.observers);
+    m_metricsListener.setConnectionLimit(shares.observers);
     std::error_code error =
             m_channel.open(udpEndpointOf(m_settings.peerListener),
                            [this](const udp_endpoint &peer, const peer_message &message) {
@@ -164,6 +207,8 @@
     }
     if (now >= m_nextStoreCallsLog)
         logStoreCalls(now);
+    if (now >= m_nextLimitsLog)
+        logLimits(now);
     flushBoundedLog();
 }
 
@@ -199,6 +244,34 @@
     connection->respond(std::move(answer));
 }
 
+http_answer gateway::refuse(const http_call &head, unsigned status, std::string_view reason)
+{
+    m_metrics.countLimit(reason);
+    auto answer = makeOwnAnswer(status, std::string(reason) + '\n');
+    const auto retryAfter = status == HTTP_UNAVAILABLE ? std::optional(NOT_READY_RETRY_AFTER)
+                                                       : std::optional<milliseconds>();
+    m_format.setOwnAnswerHeaders(answer, m_format.readCaller(head).requestId, retryAfter);
+    return answer;
+}
+
+void gateway::onClosedForLimit(std::string_view reason)
+{
+    m_metrics.countLimit(reason);
+}
+
+void gateway::logLimits(instant now)
+{
+    m_nextLimitsLog = now + LIMITS_LOG_INTERVAL;
+    const auto reasons = m_metrics.takeLimits();
+    if (reasons.empty())
+        return;
+    log_line line(log_level::Warning, "limits_met");
+    line.add("held_bytes", m_account->used())
+            .add("connections", m_callerListener.connectionCount());
+    for (const auto &[reason, count] : reasons)
+        line.add(reason, count);
+}
+
 void gateway::handle(http_call &&call, const std::shared_ptr<server_connection> &connection)
 {
     if (!m_routes) {
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/asynchttp/serverlistener.h"
 #include "clementinebeam/gateway/gatewaysettings.h"
 #include "clementinebeam/gateway/iclusterstore.h"
 #include "clementinebeam/gateway/imessageformat.h"
@@ -20,14 +21,25 @@
 public:
     using page_maker = std::function<http_answer()>;
 
-    page_server(std::string path, page_maker maker);
+    /// Largest body of a request; pages are requested without one.
+    static constexpr std::uint64_t MAX_BODY_BYTES = 4096;
+
+    /// @param account the process's account for memory.
+    /// @param metrics counts refusals.
+    page_server(std::string path, page_maker maker, std::shared_ptr<memory_account> account,
+                gateway_metrics &metrics);
 
     void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override;
     const server_limits &limits() const override { return m_limits; }
+    std::shared_ptr<memory_account> memory() override { return m_account; }
+    http_answer refuse(const http_call &head, unsigned status, std::string_view reason) override;
+    void onClosedForLimit(std::string_view reason) override;
 
 private:
     std::string m_path;
     page_maker m_maker;
+    std::shared_ptr<memory_account> m_account;
+    gateway_metrics &m_metrics;
     server_limits m_limits;
 };
 
@@ -55,6 +67,9 @@
 
     void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override;
     const server_limits &limits() const override;
+    std::shared_ptr<memory_account> memory() override { return m_account; }
+    http_answer refuse(const http_call &head, unsigned status, std::string_view reason) override;
+    void onClosedForLimit(std::string_view reason) override;
 
     void onConfiguration(routing_configuration configuration) override;
     void onTargetsChanged() override;
@@ -72,6 +87,7 @@
     void scheduleMaintenance();
     void runMaintenance();
     void logStoreCalls(instant now);
+    void logLimits(instant now);
     instant stopEnd() const { return m_stopStart + m_settings.bounds.grace - STOP_MARGIN; }
     void finishWhenIdle(std::function<void()> done);
     void finish(const std::function<void()> &done);
@@ -83,6 +99,7 @@
     const gateway_settings m_settings;
     const i_message_format &m_format;
     gateway_metrics m_metrics;
+    const std::shared_ptr<memory_account> m_account; ///< For what callers and targets send.
     target_directory m_targets;
     target_connection_pool m_pool;
     request_quarantine m_quarantine;
@@ -104,6 +121,7 @@
     instant m_stopStart{};
     instant m_nextDropReport{};
     instant m_nextStoreCallsLog{};
+    instant m_nextLimitsLog{};
     std::uint64_t m_reportedDroppedLines = 0;
     bool m_wasReady = false;
 };
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -68,6 +68,8 @@
                           "Calls to the platform's store", m_registry))
     , m_moves(family(prometheus::BuildCounter(), "clementinebeam_gateway_range_moves_total",
                      "Ranges of keys that were moved to even out the load", m_registry))
+    , m_limits(family(prometheus::BuildCounter(), "clementinebeam_gateway_caller_limits_total",
+                      "Requests refused and connections closed for limits on callers", m_registry))
     , m_incompleteRows(family(prometheus::BuildCounter(),
                               "clementinebeam_gateway_incomplete_configuration_rows_total",
                               "Routes and services that could not be read in full", m_registry)
@@ -125,6 +127,12 @@
     m_storeCalls.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
 }
 
+void gateway_metrics::countLimit(std::string_view reason)
+{
+    ++m_recentLimits[std::string(reason)];
+    m_limits.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void gateway_metrics::countIncompleteRows(std::size_t count)
 {
     m_incompleteRows.Increment(static_cast<double>(count));
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -50,6 +50,13 @@
         return std::exchange(m_recentStoreCalls, {});
     }
 
+    /// Counts a request that was refused, or a connection that was closed, for a limit on callers.
+    /// @param reason name of the limit.
+    void countLimit(std::string_view reason);
+
+    /// @return the counts of countLimit() by reason since the previous call of this.
+    std::map<std::string, std::uint64_t> takeLimits() { return std::exchange(m_recentLimits, {}); }
+
     /// Counts ranges of keys that were moved to balance the load.
     void countKeyMoves(std::string_view service, std::uint64_t count);
 
@@ -82,6 +89,7 @@
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_moves;
+    prometheus::Family<prometheus::Counter> &m_limits;
     prometheus::Counter &m_incompleteRows;
     prometheus::Family<prometheus::Gauge> &m_ages;
     prometheus::Family<prometheus::Gauge> &m_keys;
@@ -90,6 +98,7 @@
     prometheus::Gauge &m_droppedLines;
     std::map<std::string, std::uint64_t>
             m_recentStoreCalls; ///< By kind, since the last takeStoreCalls().
+    std::map<std::string, std::uint64_t> m_recentLimits; ///< Since the last takeLimits().
 };
 
 /// @param result the outcome of sending a request to a target.
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -13,6 +13,7 @@
 constexpr value_range<std::int64_t> PORT_RANGE{1, 65535};
 constexpr value_range<std::int64_t> PARTS_RANGE{1, 1024};
 constexpr value_range<std::int64_t> MEMORY_MB_RANGE{16, 1LL << 20};
+constexpr value_range<std::int64_t> DESCRIPTORS_RANGE{64, 1LL << 30};
 constexpr std::size_t BYTES_PER_MB = 1UL << 20U;
 constexpr value_range<std::chrono::milliseconds> HEARTBEAT_RANGE{std::chrono::milliseconds(10),
                                                                  std::chrono::minutes(10)};
@@ -116,6 +117,7 @@
     std::size_t memoryMb = settings.memory / BYTES_PER_MB;
     reader.readInteger("memory_mb", memoryMb, MEMORY_MB_RANGE);
     settings.memory = memoryMb * BYTES_PER_MB;
+    reader.readInteger("max_descriptors", settings.descriptors, DESCRIPTORS_RANGE);
     readDuration(reader, "target_heartbeat", settings.targetHeartbeat, HEARTBEAT_RANGE);
     readBounds(reader, settings.bounds, problems);
     reader.finish();
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -165,7 +165,10 @@
     const bool isFirstAttempt = m_attemptedTargets.insert(target.id).second;
     m_targetConnection =
             isFirstAttempt ? m_environment.pool.take(target) : m_environment.pool.create(target);
+    // The body may be a large part of the memory, so there is only one of it.
+    auto body = std::exchange(m_call.body(), {});
     auto call = m_call;
+    call.body() = std::move(body);
     m_environment.format.setForwardingHeaders(call, target.id, timeLeft());
     const auto self = shared_from_this();
     m_targetConnection->exchange(
@@ -199,6 +202,7 @@
     if (m_stage != stage::Forwarding)
         return;
     const auto connection = std::move(m_targetConnection);
+    m_call.body() = connection->takeCallBody();
     if (failure == exchange_failure::NotSent) {
         reportRun(run_result::NotSent, std::nullopt);
         ++m_unsentAttempts;
@@ -348,6 +352,8 @@
     m_stage = stage::Finished;
     m_timer.cancel();
     recordEnd(outcome, reason, answer.result_int());
+    m_call.body() = {};
+    m_call.body().shrink_to_fit();
     const auto caller = std::move(m_caller);
     m_caller.reset();
     if (m_environment.isStopping)
--- a/src/gateway/internal/targetconnectionpool.cpp
+++ b/src/gateway/internal/targetconnectionpool.cpp
@@ -27,9 +27,10 @@
 }
 
 target_connection_pool::target_connection_pool(boost::asio::io_context &context,
-                                               std::size_t maxAnswerBytes)
+                                               std::size_t maxAnswerBytes,
+                                               std::shared_ptr<memory_account> account)
     : m_context(context)
-    , m_budget(std::make_shared<byte_budget>(maxAnswerBytes))
+    , m_budget(std::make_shared<byte_budget>(maxAnswerBytes, std::move(account)))
 { }
 
 std::shared_ptr<client_connection> target_connection_pool::take(const target_entry &target)
--- a/src/gateway/internal/targetconnectionpool.h
+++ b/src/gateway/internal/targetconnectionpool.h
@@ -13,7 +13,9 @@
 public:
     /// @param context the event loop.
     /// @param maxAnswerBytes limit for the bytes of all answers that are being received.
-    target_connection_pool(boost::asio::io_context &context, std::size_t maxAnswerBytes);
+    /// @param account the process's account, in which they count too; may be null.
+    target_connection_pool(boost::asio::io_context &context, std::size_t maxAnswerBytes,
+                           std::shared_ptr<memory_account> account = {});
 
     /// Takes a connection out of the pool.
     /// @param target the target to connect to.
--- a/src/gatewaydaemon/main.cpp
+++ b/src/gatewaydaemon/main.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 
 DEFINE_string(settings, "", "path of the settings file; the platform's file if empty");
@@ -24,6 +25,7 @@
 
 using namespace clementinebeam;
 
+constexpr int LARGE_BLOCK_BYTES = 128 * 1024;
 constexpr int EXIT_START_FAILED = 1;
 constexpr int EXIT_INVALID_SETTINGS = 2;
 /// How often the settings file is checked for changes; it may change without a signal.
@@ -119,6 +121,10 @@
 int run(const gateway_settings &settings, const std::string &text)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Large bodies go back to the system when they are released. By default, the first one raises
+    // the size from which that is so.
+    mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+    mallopt(M_TRIM_THRESHOLD, LARGE_BLOCK_BYTES);
     startBoundedLogging(settings.instance, {});
     const auto context = std::make_shared<boost::asio::io_context>(1);
     kernel core;
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE serverconnection
-#include "clementinebeam/asynchttp/serverconnection.h"
+#include "clementinebeam/asynchttp/serverlistener.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "clementinebeam/asynchttp/serverconnection.h"
+#include "clementinebeam/asynchttp/serverlistener.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
