--- a/include/clementinebeam/http/httpserver.h
+++ b/include/clementinebeam/http/httpserver.h
@@ -3,9 +3,11 @@
 #include "clementinebeam/http/httptypes.h"
 #include "clementinebeam/kernel/result.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <semaphore>
 #include <string>
 
 struct mg_context;
@@ -19,10 +21,17 @@
 /// Listening address and limits of a server.
 struct server_settings {
     network_address address;
-    std::size_t threads = 8;
+    std::size_t threads = 8; ///< Connections that are served at a time.
+    /// Requests that are handled at a time; others wait with their bodies. 0: as many as threads.
+    std::size_t handlers = 0;
     std::size_t maxBodyBytes = 1 << 20;
+    /// Largest sum of the bodies that are received or handled; 0: unlimited.
+    std::size_t maxTotalBodyBytes = 0;
     std::size_t maxHeaderBytes = 16384;
+    /// For a head, and for each pause in a body.
     std::chrono::milliseconds requestTimeout{10000};
+    /// For a whole body. While most threads read bodies, a slow one ends earlier.
+    std::chrono::milliseconds bodyTimeout{10000};
     std::chrono::milliseconds keepAliveTimeout{30000};
     std::string certificateFile; ///< PEM file; empty for plain HTTP.
 };
@@ -50,9 +59,14 @@
     static int handleRequest(mg_connection *connection, void *self);
     int handle(mg_connection *connection);
     http_response respond(mg_connection *connection);
+    int readBody(mg_connection *connection, std::string &body);
+    bool isTooSlow(std::size_t received, std::chrono::milliseconds age) const;
 
     server_settings m_settings;
     http_handler m_handler;
+    std::counting_semaphore<> m_handlerSlots;
+    std::atomic<std::size_t> m_readers{0};   ///< Threads that read a body.
+    std::atomic<std::size_t> m_bodyBytes{0}; ///< Of all bodies that are received or handled.
     mg_context *m_context = nullptr;
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 
 DEFINE_string(settings, "", "file with the instance's settings (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings and exit: 0 if they are valid, else 2");
@@ -17,6 +18,7 @@
 using namespace clementinebeam;
 
 constexpr int EXIT_START_FAILED = 1;
+constexpr int LARGE_BLOCK_BYTES = 128 * 1024;
 constexpr int EXIT_INVALID_SETTINGS = 2;
 
 std::optional<daemon_settings> loadSettings()
@@ -72,6 +74,9 @@
     const auto settings = loadSettings();
     if (!settings)
         return EXIT_INVALID_SETTINGS;
+    // Large bodies go back to the system when they are released. By default, the first one raises
+    // the size from which that is so.
+    mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
     if (FLAGS_check_settings) {
         std::cout << "settings are valid\n";
         return 0;
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -1,5 +1,8 @@
 #include "clementinebeam/http/httpserver.h"
 
+#include "clementinebeam/kernel/bootclock.h"
+#include "clementinebeam/kernel/scopeexit.h"
+
 #include <array>
 #include <civetweb.h>
 #include <csignal>
@@ -9,12 +12,33 @@
 namespace {
 
 constexpr std::size_t READ_BYTES = 16384;
+constexpr int HTTP_BAD_REQUEST = 400;
+constexpr int HTTP_REQUEST_TIMEOUT = 408;
+constexpr int HTTP_TOO_LARGE = 413;
+constexpr int HTTP_UNAVAILABLE = 503;
+/// Least rate of a body while most threads read bodies, and the age from which it counts.
+constexpr std::size_t LEAST_BYTES_PER_S = 32768;
+constexpr std::chrono::milliseconds RATE_GRACE{500};
 
 std::string_view statusText(mg_connection *connection, int status)
 {
     return mg_get_response_code_text(connection, status);
 }
 
+std::string nameOf(int status)
+{
+    switch (status) {
+    case HTTP_REQUEST_TIMEOUT:
+        return "body too slow\n";
+    case HTTP_TOO_LARGE:
+        return "body too large\n";
+    case HTTP_UNAVAILABLE:
+        return "no memory for the body\n";
+    default:
+        return "body incomplete\n";
+    }
+}
+
 http_response textError(int status, std::string text)
 {
     http_response response;
@@ -29,6 +53,8 @@
 http_server::http_server(server_settings settings, http_handler handler)
     : m_settings(std::move(settings))
     , m_handler(std::move(handler))
+    , m_handlerSlots(static_cast<std::ptrdiff_t>(m_settings.handlers > 0 ? m_settings.handlers
+                                                                         : m_settings.threads))
 { }
 
 http_server::~http_server()
@@ -118,24 +144,59 @@
     request.remoteAddress = info->remote_addr;
     for (int index = 0; index < info->num_headers; ++index)
         request.headers.add(info->http_headers[index].name, info->http_headers[index].value);
-    if (info->content_length > static_cast<long long>(m_settings.maxBodyBytes)) {
-        auto response = textError(413, "body too large\n");
+    int status = HTTP_TOO_LARGE;
+    if (info->content_length <= static_cast<long long>(m_settings.maxBodyBytes))
+        status = readBody(connection, request.body);
+    const scope_exit release([this, &request] { m_bodyBytes -= request.body.size(); });
+    if (status == 0 && info->content_length >= 0
+        && request.body.size() != static_cast<std::size_t>(info->content_length))
+        status = HTTP_BAD_REQUEST;
+    if (status != 0) {
+        // Otherwise, the thread would read on until the rest of the body has arrived.
+        mg_disable_connection_keep_alive(connection);
+        auto response = textError(status, nameOf(status));
         response.headers.add("Connection", "close");
+        if (status == HTTP_UNAVAILABLE)
+            response.headers.add("Retry-After", "1");
         return response;
     }
+    m_handlerSlots.acquire();
+    const scope_exit leave([this] { m_handlerSlots.release(); });
+    return m_handler(request);
+}
+
+/// @return the status that the request is refused with, or 0.
+int http_server::readBody(mg_connection *connection, std::string &body)
+{
+    using std::chrono::milliseconds;
+    const auto start = boot_clock::now();
+    ++m_readers;
+    const scope_exit done([this] { --m_readers; });
     std::array<char, READ_BYTES> buffer{};
     for (;;) {
         const int got = mg_read(connection, buffer.data(), buffer.size());
         if (got <= 0)
-            break;
-        request.body.append(buffer.data(), static_cast<std::size_t>(got));
-        if (request.body.size() > m_settings.maxBodyBytes)
-            return textError(413, "body too large\n");
+            return 0;
+        const auto bytes = static_cast<std::size_t>(got);
+        if (body.size() + bytes > m_settings.maxBodyBytes)
+            return HTTP_TOO_LARGE;
+        const auto total = m_bodyBytes += bytes;
+        body.append(buffer.data(), bytes);
+        if (m_settings.maxTotalBodyBytes > 0 && total > m_settings.maxTotalBodyBytes)
+            return HTTP_UNAVAILABLE;
+        if (isTooSlow(body.size(),
+                      std::chrono::duration_cast<milliseconds>(boot_clock::now() - start)))
+            return HTTP_REQUEST_TIMEOUT;
     }
-    if (info->content_length >= 0
-        && request.body.size() != static_cast<std::size_t>(info->content_length))
-        return textError(400, "body incomplete\n");
-    return m_handler(request);
+}
+
+bool http_server::isTooSlow(std::size_t received, std::chrono::milliseconds age) const
+{
+    if (age > m_settings.bodyTimeout)
+        return true;
+    const bool isCrowded = m_readers > m_settings.threads / 2;
+    return isCrowded && age > RATE_GRACE
+            && received * 1000 < LEAST_BYTES_PER_S * static_cast<std::size_t>(age.count());
 }
 
 } // namespace clementinebeam
--- a/src/routing/internal/gateway.cpp
+++ b/src/routing/internal/gateway.cpp
@@ -9,12 +9,18 @@
 namespace {
 
 constexpr std::chrono::milliseconds DRAIN_POLL{5};
+constexpr std::size_t CONNECTIONS_PER_HANDLER = 4;
+constexpr std::chrono::milliseconds HEAD_TIMEOUT{3000};
 
 server_settings callerServerSettings(const daemon_settings &settings)
 {
     server_settings server;
     server.address = settings.callerListener;
-    server.threads = settings.callerThreads;
+    // A connection needs a thread even if it sends nothing.
+    server.threads = settings.callerThreads * CONNECTIONS_PER_HANDLER;
+    server.handlers = settings.callerThreads;
+    server.maxTotalBodyBytes = settings.callerThreads * server.maxBodyBytes;
+    server.requestTimeout = HEAD_TIMEOUT;
     server.certificateFile = settings.certificateFile;
     return server;
 }
