--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -71,6 +71,8 @@
     , m_heldBack(family(
               prometheus::BuildCounter(), "clementinebeam_gateway_warm_up_held_back_total",
               "Requests not dispatched at once because of a target's warm-up limit", m_registry))
+    , m_limits(family(prometheus::BuildCounter(), "clementinebeam_gateway_caller_limits_total",
+                      "Requests refused and connections closed for limits on callers", m_registry))
     , m_incompleteRows(family(prometheus::BuildCounter(),
                               "clementinebeam_gateway_incomplete_configuration_rows_total",
                               "Routes and services that could not be read in full", m_registry)
@@ -140,6 +142,12 @@
     m_storeCalls.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
 }
 
+void gateway_metrics::countLimit(std::string_view reason)
+{
+    ++m_recentLimits[std::string(reason)];
+    m_limits.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void gateway_metrics::countIncompleteRows(std::size_t count)
 {
     m_incompleteRows.Increment(static_cast<double>(count));
