Tests of refusals on one connection; a lint of the crowd

serverconnectiontest: a refusal for memory reaches its caller and nothing runs, a small request gets an answer beside an incomplete large one, what is sent ahead beyond the account does not run, an idle connection closes for a new one.

--- a/tests/hardcallers/crowd.cpp
+++ b/tests/hardcallers/crowd.cpp
@@ -150,7 +150,7 @@
     bool m_isStopped = false;
 };
 
-crowd::crowd(boost::asio::io_context &context, tcp::endpoint peer, caller_script script,
+crowd::crowd(boost::asio::io_context &context, const tcp::endpoint &peer, caller_script script,
              std::size_t count)
     : m_answers(std::make_shared<std::map<std::string, int>>())
 {
--- a/tests/hardcallers/crowd.h
+++ b/tests/hardcallers/crowd.h
@@ -30,7 +30,7 @@
     /// @param peer where the callers connect to.
     /// @param script what each of them does.
     /// @param count how many there are.
-    crowd(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint peer,
+    crowd(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &peer,
           caller_script script, std::size_t count);
     ~crowd();
     crowd(const crowd &) = delete;
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -30,12 +30,17 @@
 
     void handle(http_call &&call, const std::shared_ptr<server_connection> &connection) override
     {
+        ++handled;
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(50));
         timer->async_wait([timer, connection, body = call.body()](boost::system::error_code) {
             connection->respond(makeOwnAnswer(200, body));
         });
     }
     const server_limits &limits() const override { return m_limits; }
+    std::shared_ptr<memory_account> memory() override { return account; }
+
+    std::shared_ptr<memory_account> account; ///< None by default.
+    int handled = 0;
 
 private:
     boost::asio::io_context &m_context;
@@ -183,3 +188,90 @@
         BOOST_CHECK_EQUAL(bodies, expected);
     }
 }
+
+namespace {
+
+constexpr std::size_t ACCOUNT_BYTES = 65536;
+
+std::string requestWithBody(std::size_t bytes)
+{
+    return "POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: " + std::to_string(bytes)
+            + "\r\n\r\n" + std::string(bytes, 'x');
+}
+
+/// A listener whose connections share a small account, and a second caller.
+struct account_fixture : listener_fixture {
+    account_fixture()
+        : other(context)
+        , late(context)
+    {
+        handler.account = std::make_shared<memory_account>(ACCOUNT_BYTES);
+        other.connect(local());
+        late.connect(local());
+        context.run_for(milliseconds(10));
+    }
+
+    tcp::socket other;
+    tcp::socket late;
+};
+
+} // namespace
+
+// A refusal promises that the request has not run and never will; its caller is still sending.
+BOOST_FIXTURE_TEST_CASE(refusal_for_memory_reaches_its_caller_and_nothing_is_run, account_fixture)
+{
+    send(requestWithBody(2 * ACCOUNT_BYTES) + REQUEST);
+    const auto text = received();
+    BOOST_CHECK_EQUAL(text.substr(0, 12), "HTTP/1.1 503");
+    BOOST_CHECK(text.find("Connection: close") != std::string::npos);
+    BOOST_CHECK_EQUAL(text.find("HTTP/1.1", 1), std::string::npos);
+    BOOST_CHECK_EQUAL(handler.handled, 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(incomplete_large_request_gives_way_to_a_small_one, account_fixture)
+{
+    const auto large = requestWithBody(ACCOUNT_BYTES / 2);
+    send(large.substr(0, large.size() - 1));
+    boost::asio::write(other, boost::asio::buffer(large.substr(0, large.size() - 2)));
+    context.run_for(milliseconds(50));
+    boost::asio::write(late, boost::asio::buffer(REQUEST));
+    std::string text;
+    boost::asio::async_read(late, boost::asio::dynamic_buffer(text),
+                            [](boost::system::error_code, std::size_t) {});
+    context.run_for(milliseconds(200));
+    // The read goes on, so there may be unused bytes behind the answer.
+    BOOST_CHECK_EQUAL(text.substr(0, 15), "HTTP/1.1 200 OK");
+    BOOST_CHECK(text.find("\r\n\r\nbody") != std::string::npos);
+    BOOST_CHECK_EQUAL(handler.handled, 1);
+    BOOST_CHECK_LE(handler.account->used(), ACCOUNT_BYTES);
+}
+
+// What was sent behind an answer that closes the connection is not run.
+BOOST_FIXTURE_TEST_CASE(requests_sent_ahead_beyond_the_account_are_not_run, account_fixture)
+{
+    std::string ahead;
+    while (ahead.size() < 2 * ACCOUNT_BYTES)
+        ahead += REQUEST;
+    send(REQUEST + ahead);
+    const auto text = received();
+    BOOST_CHECK_EQUAL(text.substr(0, 12), "HTTP/1.1 200");
+    BOOST_CHECK_EQUAL(text.find("HTTP/1.1", 1), std::string::npos);
+    BOOST_CHECK_EQUAL(handler.handled, 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(idle_connection_closes_for_a_new_one_at_the_limit, account_fixture)
+{
+    listener.setConnectionLimit(3);
+    tcp::socket more(context);
+    more.connect(local());
+    context.run_for(milliseconds(20));
+    boost::asio::write(more, boost::asio::buffer(REQUEST));
+    std::string text;
+    boost::asio::async_read(more, boost::asio::dynamic_buffer(text),
+                            [](boost::system::error_code, std::size_t) {});
+    context.run_for(milliseconds(200));
+    // The read goes on, so there may be unused bytes behind the answer.
+    BOOST_CHECK_EQUAL(text.substr(0, 15), "HTTP/1.1 200 OK");
+    BOOST_CHECK(text.find("\r\n\r\nbody") != std::string::npos);
+    BOOST_CHECK_EQUAL(listener.connectionCount(), 3U);
+}
