Order waiting requests by priority, objective and work

Requests that took 200 ms and 670 ms at the same targets were taken for equal, a newcomer was refused however little the others mattered, and the least urgent priority could be refused for as long as others filled the targets.

waiting_order ranks waiting requests; request_kinds learns the work by kind, relative to the target's mean, and raises a priority that is served less than 0.4 as often as all, unless a more urgent one fares worse. A full queue refuses the request that is cheapest to refuse. With one kind, the order is by arrival as before (test).

--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "clementinebeam/admission/requestkinds.h"
+#include "clementinebeam/admission/waitingorder.h"
 #include "clementinebeam/dispatch/admissionpolicy.h"
 #include "clementinebeam/dispatch/dispatchtypes.h"
 #include "clementinebeam/dispatch/ikeydirectory.h"
@@ -17,7 +19,7 @@
 /// Limits of a dispatcher.
 struct dispatch_settings {
     std::uint32_t lookahead = 1;  ///< Requests that may wait at a target beyond its slots.
-    std::size_t maxWaiting = 512; ///< Longest queue; further requests are rejected.
+    std::size_t maxWaiting = 512; ///< Longest queue; beyond it, the cheapest to refuse is rejected.
     /// Parameters of the retry_budget.
     double retryShare = retry_budget::DEFAULT_SHARE;
     double retryCapacity = retry_budget::DEFAULT_CAPACITY;
@@ -35,8 +37,8 @@
 ///
 /// Each target runs few requests at a time. Under load at or beyond the capacity that arrives at
 /// many instances at once, limits that every instance sets on its own either overfill a target or
-/// leave its slots empty. One dispatcher for all instances therefore assigns the slots, ordered by
-/// priority, then by whether a request can still meet its objective, then by arrival. Does no I/O.
+/// leave its slots empty. One dispatcher for all instances therefore assigns the slots, in the
+/// order of waiting_order. Does no I/O.
 class service_dispatcher
 {
 public:
@@ -133,17 +135,19 @@
     struct running_request {
         dispatch_request request;
         dispatch_decision decision;
+        request_kinds::index kind;
     };
 
     struct waiting_request {
         dispatch_request request;
         target_state *owner = nullptr; ///< Of the request's key; null if there is none.
+        request_kinds::index kind = 0;
     };
 
     /// A queued request that may be dispatched next.
     struct candidate {
         const waiting_request *item;
-        bool isLate; ///< It can't meet its objective any more.
+        waiting_order::rank rank;
     };
 
     using target_map = std::map<target_id, target_state>;
@@ -169,13 +173,15 @@
     std::chrono::microseconds expectedWait(const waiting_request &item, instant now) const;
     std::chrono::microseconds ownerWait(const waiting_request &item, instant now) const;
     std::chrono::microseconds typicalServiceTime(const waiting_request &item) const;
-    std::size_t waitingAhead(const dispatch_request &request, const target_state *owner) const;
+    std::chrono::microseconds expectedWork(const waiting_request &item) const;
+    waiting_item orderItemOf(const waiting_request &item) const;
+    double workAhead(const waiting_request &item) const;
+    bool makeRoomFor(const waiting_request &item, instant now, dispatch_decisions &decisions);
     target_state *ownerOf(const dispatch_request &request);
     void resolveOwners();
     bool isKeyed(const dispatch_request &request) const { return m_keyDirectory && request.key; }
     bool canServe(const target_state &owner, instant now) const;
-    static bool hasPrecedence(const candidate &left, const candidate &right);
-    void dispatch(const dispatch_request &request, target_state &state, instant now,
+    void dispatch(const waiting_request &item, target_state &state, instant now,
                   dispatch_decisions &decisions);
     void reject(const waiting_request &item, error_kind reason, instant now,
                 dispatch_decisions &decisions);
@@ -194,6 +200,7 @@
     std::uint64_t m_heldBackCount = 0;
     /// Mean over listed targets that are not draining, without COLD_START_FACTOR.
     std::chrono::microseconds m_meanServiceTime;
+    request_kinds m_kinds;
     std::unordered_map<request_token, waiting_request> m_waiting;
     std::unordered_map<request_token, running_request> m_running;
 };
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -268,16 +268,34 @@
     return rateOf(state, state.estimate.serviceTime(), now) * state.estimate.answerShare(now);
 }
 
-std::size_t service_dispatcher::waitingAhead(const dispatch_request &request,
-                                             const target_state *owner) const
+/// @return the time that a target is expected to work for the request.
+microseconds service_dispatcher::expectedWork(const waiting_request &item) const
 {
-    std::size_t count = 0;
+    return std::chrono::duration_cast<microseconds>(typicalServiceTime(item)
+                                                    * m_kinds.workFactor(item.kind));
+}
+
+waiting_item service_dispatcher::orderItemOf(const waiting_request &item) const
+{
+    return {item.request.token,   item.request.priority,  m_kinds.isRaised(item.kind),
+            item.request.arrival, item.request.objective, item.request.deadline,
+            expectedWork(item)};
+}
+
+/// @return the work of the requests that are no less urgent, in requests of the mean size.
+double service_dispatcher::workAhead(const waiting_request &item) const
+{
+    const auto urgencyOf = [this](const waiting_request &other) {
+        return std::pair(!m_kinds.isRaised(other.kind), other.request.priority);
+    };
+    const auto urgency = urgencyOf(item);
+    double work = 0.0;
     for (const auto &[token, other] : m_waiting) {
-        const bool isAhead = other.request.priority <= request.priority && token != request.token
-                && (!owner || other.owner == owner);
-        count += isAhead ? 1 : 0;
+        const bool isAhead = urgencyOf(other) <= urgency && token != item.request.token
+                && (!item.owner || other.owner == item.owner);
+        work += isAhead ? m_kinds.workFactor(other.kind) : 0.0;
     }
-    return count;
+    return work;
 }
 
 microseconds service_dispatcher::ownerWait(const waiting_request &item, instant now) const
@@ -285,7 +303,7 @@
     if (!item.owner)
         return std::max(microseconds(0), m_keyDirectory->ownerExpectedAt(*item.request.key) - now);
     const auto &state = *item.owner;
-    const auto waiting = waitingAhead(item.request, item.owner);
+    const auto waiting = workAhead(item);
     microseconds wait = std::max(microseconds(0), state.target.pausedUntil - now);
     boot_clock::duration interval{0};
     if (state.pacer)
@@ -294,13 +312,14 @@
         interval = std::max(interval, state.warmUp->interval());
     if (interval > boot_clock::duration(0))
         wait = std::max(wait, paceReadyAt(state, now) - now)
-                + interval * static_cast<std::int64_t>(waiting);
-    const auto ahead = occupancy(state, now) + waiting;
-    const auto slots = std::max<std::uint32_t>(1, state.target.slots);
+                + std::chrono::duration_cast<microseconds>(interval * waiting);
+    const double ahead = occupancy(state, now) + waiting;
+    const double slots = std::max<std::uint32_t>(1, state.target.slots);
     if (ahead < slots)
         return wait;
-    return std::max(
-            wait, expectedTime(state, now) * static_cast<std::int64_t>(ahead - slots + 1) / slots);
+    return std::max(wait,
+                    std::chrono::duration_cast<microseconds>(expectedTime(state, now)
+                                                             * ((ahead - slots + 1) / slots)));
 }
 
 microseconds service_dispatcher::expectedWait(const waiting_request &item, instant now) const
@@ -318,7 +337,7 @@
     }
     if (serviceRate == 0.0)
         return std::chrono::duration_cast<microseconds>(item.request.deadline - now);
-    const auto ahead = static_cast<double>(waitingAhead(item.request, nullptr) + excess);
+    const auto ahead = workAhead(item) + static_cast<double>(excess);
     return microseconds(static_cast<std::int64_t>(ahead / serviceRate * 1e6));
 }
 
@@ -330,7 +349,7 @@
             item.request.objective,
             item.request.deadline,
             expectedWait(item, now),
-            typicalServiceTime(item)};
+            expectedWork(item)};
 }
 
 error_kind service_dispatcher::rejectionReason(const waiting_request &item) const
@@ -344,7 +363,9 @@
 {
     if (m_waiting.contains(request.token) || m_running.contains(request.token))
         return;
-    const waiting_request item{request, ownerOf(request)};
+    const waiting_request item{
+            request, ownerOf(request),
+            m_kinds.indexOf(request.priority, request.arrival, request.objective)};
     if (!request.isRetry) {
         m_retryBudget.deposit();
     } else if (!m_retryBudget.withdraw()) {
@@ -352,13 +373,13 @@
         return;
     }
     auto *state = m_waiting.empty() || m_keyDirectory ? chooseTarget(item, now) : nullptr;
-    if (state && waitingAhead(request, item.owner) == 0) {
-        dispatch(request, *state, now, decisions);
+    if (state && workAhead(item) == 0.0) {
+        dispatch(item, *state, now, decisions);
         return;
     }
     m_heldBackCount += isHeldBack(item, now) ? 1 : 0;
-    if (m_waiting.size() >= m_settings.maxWaiting
-        || !admission_policy::mayWait(admissionInputFor(item, now))) {
+    if (!admission_policy::mayWait(admissionInputFor(item, now))
+        || !makeRoomFor(item, now, decisions)) {
         reject(item, rejectionReason(item), now, decisions);
         return;
     }
@@ -366,9 +387,33 @@
     dispatchWaiting(now, decisions);
 }
 
-void service_dispatcher::dispatch(const dispatch_request &request, target_state &state, instant now,
+/// Rejects the request of a full queue that is cheapest to refuse.
+/// @return whether there is room for @p item; no if it is the cheapest itself.
+bool service_dispatcher::makeRoomFor(const waiting_request &item, instant now,
+                                     dispatch_decisions &decisions)
+{
+    if (m_waiting.size() < m_settings.maxWaiting)
+        return true;
+    auto cheapest = orderItemOf(item);
+    for (const auto &[token, other] : m_waiting) {
+        const auto candidate = orderItemOf(other);
+        if (waiting_order::isCheaperToRefuse(candidate, cheapest, now))
+            cheapest = candidate;
+    }
+    const auto found = m_waiting.find(cheapest.id);
+    if (found == m_waiting.end())
+        return false;
+    const auto refused = found->second;
+    m_waiting.erase(found);
+    reject(refused, rejectionReason(refused), now, decisions);
+    return true;
+}
+
+void service_dispatcher::dispatch(const waiting_request &item, target_state &state, instant now,
                                   dispatch_decisions &decisions)
 {
+    const auto &request = item.request;
+    m_kinds.recordOutcome(item.kind, true, now);
     const bool hasFreeSlot = occupancy(state, now) < state.target.slots;
     if (state.pacer)
         state.pacer->consume(now);
@@ -382,13 +427,14 @@
     decision.queueLength = m_waiting.size();
     if (isLimitedAsCold(state, now))
         decision.sendBefore = now + warm_up_pacer::PLACEMENT_LIFETIME;
-    m_running.emplace(request.token, running_request{request, decision});
+    m_running.emplace(request.token, running_request{request, decision, item.kind});
     decisions.push_back(std::move(decision));
 }
 
 void service_dispatcher::reject(const waiting_request &item, error_kind reason, instant now,
                                 dispatch_decisions &decisions)
 {
+    m_kinds.recordOutcome(item.kind, false, now);
     dispatch_decision decision;
     decision.token = item.request.token;
     decision.reason = reason;
@@ -429,6 +475,7 @@
     if (found == m_running.end())
         return;
     const auto target = m_targets.find(found->second.decision.target);
+    const auto kind = found->second.kind;
     m_running.erase(found);
     if (target == m_targets.end())
         return;
@@ -440,8 +487,11 @@
     const auto waited = ended->begun ? *ended->begun - ended->start : instant::duration{};
     state.running.erase(ended);
     beginNext(state, now);
-    state.estimate.recordResult(report, std::chrono::duration_cast<microseconds>(waited), isFull,
-                                now);
+    const auto waitedAtTarget = std::chrono::duration_cast<microseconds>(waited);
+    state.estimate.recordResult(report, waitedAtTarget, isFull, now);
+    if (report.result == run_result::Answered)
+        m_kinds.recordWork(kind, std::max(MIN_SERVICE_TIME, report.duration - waitedAtTarget),
+                           state.estimate.serviceTime());
     updateMeanServiceTime();
     if (report.load) {
         const auto reported = report.load->running + report.load->waiting;
@@ -479,7 +529,7 @@
         const auto begin = hasNoOwner
                 ? std::max(now, m_keyDirectory->ownerExpectedAt(*item.request.key))
                 : now;
-        const auto end = begin + typicalServiceTime(item);
+        const auto end = begin + expectedWork(item);
         if (end > admission_policy::latestUsefulEnd(item.request.objective, item.request.deadline))
             tooLate.push_back(item);
     }
@@ -489,19 +539,6 @@
     }
 }
 
-bool service_dispatcher::hasPrecedence(const candidate &left, const candidate &right)
-{
-    const auto &first = left.item->request;
-    const auto &second = right.item->request;
-    if (first.priority != second.priority)
-        return first.priority < second.priority;
-    if (left.isLate != right.isLate)
-        return right.isLate;
-    if (first.arrival != second.arrival)
-        return first.arrival < second.arrival;
-    return first.token < second.token;
-}
-
 void service_dispatcher::dispatchWaiting(instant now, dispatch_decisions &decisions)
 {
     std::vector<candidate> order;
@@ -509,18 +546,19 @@
     for (const auto &[token, item] : m_waiting) {
         if (isKeyed(item.request) && !(item.owner && canServe(*item.owner, now)))
             continue;
-        order.push_back({&item, now + typicalServiceTime(item) > item.request.objective});
+        order.push_back({&item, waiting_order::rankOf(orderItemOf(item), now)});
     }
-    std::sort(order.begin(), order.end(), hasPrecedence);
+    std::sort(order.begin(), order.end(),
+              [](const candidate &left, const candidate &right) { return left.rank < right.rank; });
     std::vector<request_token> dispatchedTokens;
-    for (const auto &[item, isLate] : order) {
+    for (const auto &[item, rank] : order) {
         auto *state = chooseTarget(*item, now);
         if (!state) {
             if (!m_keyDirectory)
                 break;
             continue;
         }
-        dispatch(item->request, *state, now, decisions);
+        dispatch(*item, *state, now, decisions);
         dispatchedTokens.push_back(item->request.token);
     }
     for (const auto token : dispatchedTokens)
@@ -541,7 +579,7 @@
     for (const auto &[token, item] : m_waiting) {
         const auto latest =
                 admission_policy::latestUsefulEnd(item.request.objective, item.request.deadline);
-        next = std::min(next, latest - typicalServiceTime(item));
+        next = std::min(next, latest - expectedWork(item));
     }
     for (const auto &[token, running] : m_running)
         next = std::min(next, running.request.deadline + OVERDUE_MARGIN);
