Serve the shortest first where a priority is refused anyway, and raise kinds served too seldom

With more urgent requests than the targets can do, order by arrival let requests of 670 ms with a wide objective push out those of 200 ms: 0.27 of the short and all of the long ones were served.

While more than a tenth of a priority is refused, its shortest requests go first and are admitted ahead of longer ones. A kind is raised if it is served less than 0.3 as often as all, or no more than 0.05 more often than a less urgent kind; kinds with less than a twentieth of the requests are not. Sizes are compared at the mean target, so that requests of one kind keep the order of arrival whoever owns their keys. The replay draws arrivals and work apart from decisions.

--- a/src/admission/internal/requestkinds.cpp
+++ b/src/admission/internal/requestkinds.cpp
@@ -16,11 +16,21 @@
 constexpr std::size_t MIN_SAMPLES = 20;
 constexpr double MIN_FACTOR = 0.1;
 constexpr double MAX_FACTOR = 10.0;
-/// A priority is raised while its share of served requests is below this part of that of all
+/// A kind is raised while its share of served requests is below this part of that of all
 /// requests.
-constexpr double RAISED_BELOW = 0.4;
-/// Fewer outcomes don't show that a priority is served too seldom.
+constexpr double RAISED_BELOW = 0.3;
+/// Fewer outcomes don't show that a kind is served too seldom.
 constexpr double MIN_OUTCOMES = 8.0;
+/// A kind with a smaller share of the outcomes is not raised.
+constexpr double MIN_OUTCOME_SHARE = 0.05;
+/// A kind is served at least by this more often than less urgent ones.
+constexpr double URGENT_MARGIN = 0.05;
+/// A kind that is served more often needs no place before others.
+constexpr double ALL_SERVED = 0.9;
+/// Share of refused requests of a priority that shows lasting overload.
+constexpr double CROWDED_ABOVE = 0.1;
+/// A kind whose work differs by less from the mean is taken for average.
+constexpr double SIMILAR_FACTOR = 1.25;
 constexpr double DECAY_TIME_S = 10.0;
 /// Counts are brought up to date in steps of this length.
 constexpr milliseconds DECAY_STEP{100};
@@ -47,27 +57,14 @@
     });
     if (found != m_kinds.end())
         return static_cast<index>(found - m_kinds.begin());
-    const auto level = levelOf(priority);
     if (m_kinds.size() < MAX_KINDS) {
         m_kinds.emplace_back();
         m_kinds.back().priority = priority;
         m_kinds.back().objective = window;
-        m_kinds.back().level = level;
     }
     return m_kinds.size() - 1;
 }
 
-std::size_t request_kinds::levelOf(int priority)
-{
-    const auto found = std::find_if(m_levels.begin(), m_levels.end(),
-                                    [&](const auto &level) { return level.priority == priority; });
-    if (found != m_levels.end())
-        return static_cast<std::size_t>(found - m_levels.begin());
-    m_levels.emplace_back();
-    m_levels.back().priority = priority;
-    return m_levels.size() - 1;
-}
-
 void request_kinds::recordWork(index kind, microseconds work, microseconds typical)
 {
     const auto value = static_cast<double>(work.count())
@@ -76,16 +73,18 @@
     addSample(m_kinds[kind].work, m_kinds[kind].samples, value);
     for (auto &state : m_kinds) {
         const bool isKnown = m_kinds.size() > 1 && state.samples >= MIN_SAMPLES && m_work > 0.0;
-        state.factor = isKnown ? std::clamp(state.work / m_work, MIN_FACTOR, MAX_FACTOR) : 1.0;
+        const double factor =
+                isKnown ? std::clamp(state.work / m_work, MIN_FACTOR, MAX_FACTOR) : 1.0;
+        state.factor = factor > 1.0 / SIMILAR_FACTOR && factor < SIMILAR_FACTOR ? 1.0 : factor;
     }
 }
 
 void request_kinds::recordOutcome(index kind, bool isServed, instant now)
 {
     decay(now);
-    auto &level = m_levels[m_kinds[kind].level];
-    (isServed ? level.served : level.refused) += 1.0;
-    updateRaised();
+    auto &state = m_kinds[kind];
+    (isServed ? state.served : state.refused) += 1.0;
+    update();
 }
 
 void request_kinds::decay(instant now)
@@ -94,30 +93,53 @@
         return;
     const std::chrono::duration<double> passed = now - m_decayedAt;
     const double kept = std::exp(-passed.count() / DECAY_TIME_S);
-    for (auto &level : m_levels) {
-        level.served *= kept;
-        level.refused *= kept;
+    for (auto &state : m_kinds) {
+        state.served *= kept;
+        state.refused *= kept;
     }
     m_decayedAt = now;
 }
 
-void request_kinds::updateRaised()
+bool request_kinds::isServedTooSeldom(const kind_state &kind, double all, double limit) const
+{
+    if (kind.total() < std::max(MIN_OUTCOMES, all * MIN_OUTCOME_SHARE))
+        return false;
+    bool isTooSeldom = kind.servedShare() < limit;
+    for (const auto &other : m_kinds) {
+        if (other.total() < MIN_OUTCOMES)
+            continue;
+        if (other.priority < kind.priority
+            && other.servedShare() < kind.servedShare() + URGENT_MARGIN)
+            return false;
+        if (other.priority > kind.priority
+            && kind.servedShare() < other.servedShare() + URGENT_MARGIN)
+            isTooSeldom = isTooSeldom || kind.servedShare() < ALL_SERVED;
+    }
+    return isTooSeldom;
+}
+
+void request_kinds::update()
 {
     double served = 0.0;
     double all = 0.0;
-    for (const auto &level : m_levels) {
-        served += level.served;
-        all += level.total();
+    for (const auto &kind : m_kinds) {
+        served += kind.served;
+        all += kind.total();
     }
     const double limit = all > 0.0 ? served / all * RAISED_BELOW : 0.0;
-    for (auto &level : m_levels) {
-        const auto isWorseOffAndMoreUrgent = [&](const level_state &other) {
-            return other.priority < level.priority && other.total() >= MIN_OUTCOMES
-                    && other.servedShare() <= level.servedShare();
-        };
-        level.isRaised = level.total() >= MIN_OUTCOMES && level.servedShare() < limit
-                && std::none_of(m_levels.begin(), m_levels.end(), isWorseOffAndMoreUrgent);
+    for (auto &kind : m_kinds) {
+        double refusedOfPriority = 0.0;
+        double allOfPriority = 0.0;
+        for (const auto &other : m_kinds) {
+            refusedOfPriority += other.priority == kind.priority ? other.refused : 0.0;
+            allOfPriority += other.priority == kind.priority ? other.total() : 0.0;
+        }
+        kind.isCrowded =
+                allOfPriority >= MIN_OUTCOMES && refusedOfPriority > allOfPriority * CROWDED_ABOVE;
+        kind.isRaised = isServedTooSeldom(kind, all, limit);
     }
+    if (m_kinds.size() == MAX_KINDS)
+        m_kinds.back().isRaised = false;
 }
 
 } // namespace clementinebeam
--- a/src/admission/internal/waitingorder.cpp
+++ b/src/admission/internal/waitingorder.cpp
@@ -7,10 +7,11 @@
 waiting_order::rank waiting_order::rankOf(const waiting_item &item, instant now)
 {
     const bool isLate = now + item.work > item.objective;
-    const bool isYielding = now + 2 * item.work <= item.objective;
-    return {!item.isRaised, item.priority,
-            isLate,         isYielding ? item.arrival + item.work : item.arrival,
-            item.arrival,   item.id};
+    const bool isYielding = now + 2 * item.size <= item.objective;
+    auto start = isYielding ? item.arrival + item.size : item.arrival;
+    if (item.isCrowded)
+        start = instant{} + item.size;
+    return {!item.isRaised, item.priority, isLate, start, item.arrival, item.id};
 }
 
 bool waiting_order::isCheaperToRefuse(const waiting_item &left, const waiting_item &right,
@@ -19,7 +20,7 @@
     const auto costOf = [now](const waiting_item &item) {
         // Greater is cheaper.
         return std::tuple(!item.isRaised, item.priority, now + item.work > item.objective,
-                          item.work, item.deadline, item.arrival, item.id);
+                          item.size, item.deadline, item.arrival, item.id);
     };
     return costOf(left) > costOf(right);
 }
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -277,24 +277,35 @@
 
 waiting_item service_dispatcher::orderItemOf(const waiting_request &item) const
 {
-    return {item.request.token,   item.request.priority,  m_kinds.isRaised(item.kind),
-            item.request.arrival, item.request.objective, item.request.deadline,
-            expectedWork(item)};
+    return {item.request.token,
+            item.request.priority,
+            m_kinds.isRaised(item.kind),
+            m_kinds.isCrowded(item.kind),
+            item.request.arrival,
+            item.request.objective,
+            item.request.deadline,
+            expectedWork(item),
+            std::chrono::duration_cast<microseconds>(m_meanServiceTime
+                                                     * m_kinds.workFactor(item.kind))};
 }
 
-/// @return the work of the requests that are no less urgent, in requests of the mean size.
+/// @return the work of the requests that go first, in requests of the mean size.
 double service_dispatcher::workAhead(const waiting_request &item) const
 {
-    const auto urgencyOf = [this](const waiting_request &other) {
-        return std::pair(!m_kinds.isRaised(other.kind), other.request.priority);
+    const auto own = orderItemOf(item);
+    const auto isAhead = [&](const waiting_request &other) {
+        if (other.request.token == own.id || (item.owner && other.owner != item.owner))
+            return false;
+        const bool isRaised = m_kinds.isRaised(other.kind);
+        if (isRaised != own.isRaised)
+            return isRaised;
+        if (other.request.priority != own.priority)
+            return other.request.priority < own.priority;
+        return !waiting_order::yields(orderItemOf(other), own);
     };
-    const auto urgency = urgencyOf(item);
     double work = 0.0;
-    for (const auto &[token, other] : m_waiting) {
-        const bool isAhead = urgencyOf(other) <= urgency && token != item.request.token
-                && (!item.owner || other.owner == item.owner);
-        work += isAhead ? m_kinds.workFactor(other.kind) : 0.0;
-    }
+    for (const auto &[token, other] : m_waiting)
+        work += isAhead(other) ? m_kinds.workFactor(other.kind) : 0.0;
     return work;
 }
 
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -70,11 +70,15 @@
         return targets;
     };
     dispatcher.setTargets(targetsOf(pattern.targets), START);
-    std::mt19937 random(11);
+    // Arrivals and work don't depend on the decisions, so that ways can be compared.
+    std::vector<std::mt19937> random;
+    for (std::size_t kind = 0; kind < pattern.kinds.size(); ++kind)
+        random.emplace_back(11 + kind);
     std::priority_queue<event> events;
     for (std::size_t kind = 0; kind < pattern.kinds.size(); ++kind)
         events.push({START, kind, {}});
     std::map<request_token, std::pair<dispatch_request, std::size_t>> requests;
+    std::map<request_token, microseconds> works;
     bool isLost = false;
     while (!events.empty()) {
         const auto next = events.top();
@@ -101,6 +105,9 @@
             request.objective = now + load.objective;
             request.deadline = now + load.deadline;
             request.dataCentre = "a";
+            std::gamma_distribution<double> work(8.0, static_cast<double>(load.work.count()) / 8.0);
+            works[request.token] =
+                    microseconds(static_cast<std::int64_t>(work(random[next.kind]) * 1000.0));
             ++load.offered;
             requests.emplace(request.token, std::pair(request, next.kind));
             dispatcher.enqueue(request, now, decisions);
@@ -108,7 +115,8 @@
                     now >= START + pattern.burstStart && now < START + pattern.burstEnd;
             std::exponential_distribution<double> gap(load.perSecond
                                                       * (isBurst ? pattern.burstFactor : 1.0));
-            const auto at = now + microseconds(static_cast<std::int64_t>(gap(random) * 1e6));
+            const auto at =
+                    now + microseconds(static_cast<std::int64_t>(gap(random[next.kind]) * 1e6));
             if (at < START + pattern.length)
                 events.push({at, next.kind, {}});
         }
@@ -118,9 +126,8 @@
                 ++load.refused;
                 continue;
             }
-            std::gamma_distribution<double> work(8.0, static_cast<double>(load.work.count()) / 8.0);
             // A request beyond the two slots of its target waits there.
-            const auto time = microseconds(static_cast<std::int64_t>(work(random) * 1000.0))
+            const auto time = works.at(decision.token)
                     + (dispatcher.runningAt(decision.target) > 2 ? load.work / 2 : milliseconds(0));
             events.push(
                     {now + time, 0, run_report{decision.token, run_result::Answered, time, {}}});
@@ -147,9 +154,11 @@
     return {id,
             priority,
             false,
+            false,
             START - age,
             START - age + milliseconds(1000),
             START - age + milliseconds(3000),
+            work,
             work};
 }
 
