--- a/include/clementinebeam/dispatch/dispatchtypes.h
+++ b/include/clementinebeam/dispatch/dispatchtypes.h
@@ -88,11 +88,23 @@
     std::optional<target_load> load;
 };
 
+/// Why a dispatcher rejects a request, in more detail than the error that the caller gets.
+enum class refusal_cause : std::uint8_t {
+    None,
+    NoRoom,      ///< On arrival: those that go first leave no room until it would be too late.
+    QueueFull,   ///< The queue is full, and it is the cheapest to refuse.
+    TooLate,     ///< It waited, and can't be answered in time any more.
+    RetryBudget, ///< It was sent before, and retries are too many.
+};
+
 /// Tells where to send a request, or that it is rejected.
 struct dispatch_decision {
     request_token token = 0;
-    target_id target;                        ///< Where to send it; empty if it is rejected.
-    error_kind reason = error_kind::None;    ///< Why it is rejected.
+    target_id target;                     ///< Where to send it; empty if it is rejected.
+    error_kind reason = error_kind::None; ///< Why it is rejected.
+    /// Why a dispatcher of this process rejects it; not known for decisions of others.
+    refusal_cause cause = refusal_cause::None;
+    int priority = 0; ///< Of the request, if it is rejected by a dispatcher of this process.
     std::chrono::milliseconds retryAfter{0}; ///< Proposed delay before a retry if it is rejected.
     std::chrono::microseconds waited{0};     ///< Time in the queue.
     std::size_t queueLength = 0;             ///< Queued requests at the time of the decision.
--- a/include/clementinebeam/dispatch/servicedispatcher.h
+++ b/include/clementinebeam/dispatch/servicedispatcher.h
@@ -183,7 +183,7 @@
     bool canServe(const target_state &owner, instant now) const;
     void dispatch(const waiting_request &item, target_state &state, instant now,
                   dispatch_decisions &decisions);
-    void reject(const waiting_request &item, error_kind reason, instant now,
+    void reject(const waiting_request &item, refusal_cause cause, instant now,
                 dispatch_decisions &decisions);
     void rejectTooLate(instant now, dispatch_decisions &decisions);
     void dispatchWaiting(instant now, dispatch_decisions &decisions);
--- a/src/dispatch/internal/servicedispatcher.cpp
+++ b/src/dispatch/internal/servicedispatcher.cpp
@@ -380,7 +380,7 @@
     if (!request.isRetry) {
         m_retryBudget.deposit();
     } else if (!m_retryBudget.withdraw()) {
-        reject(item, error_kind::Overloaded, now, decisions);
+        reject(item, refusal_cause::RetryBudget, now, decisions);
         return;
     }
     auto *state = m_waiting.empty() || m_keyDirectory ? chooseTarget(item, now) : nullptr;
@@ -389,9 +389,12 @@
         return;
     }
     m_heldBackCount += isHeldBack(item, now) ? 1 : 0;
-    if (!admission_policy::mayWait(admissionInputFor(item, now))
-        || !makeRoomFor(item, now, decisions)) {
-        reject(item, rejectionReason(item), now, decisions);
+    if (!admission_policy::mayWait(admissionInputFor(item, now))) {
+        reject(item, refusal_cause::NoRoom, now, decisions);
+        return;
+    }
+    if (!makeRoomFor(item, now, decisions)) {
+        reject(item, refusal_cause::QueueFull, now, decisions);
         return;
     }
     m_waiting.emplace(request.token, item);
@@ -416,7 +419,7 @@
         return false;
     const auto refused = found->second;
     m_waiting.erase(found);
-    reject(refused, rejectionReason(refused), now, decisions);
+    reject(refused, refusal_cause::QueueFull, now, decisions);
     return true;
 }
 
@@ -442,13 +445,16 @@
     decisions.push_back(std::move(decision));
 }
 
-void service_dispatcher::reject(const waiting_request &item, error_kind reason, instant now,
+void service_dispatcher::reject(const waiting_request &item, refusal_cause cause, instant now,
                                 dispatch_decisions &decisions)
 {
     m_kinds.recordOutcome(item.kind, false, now);
     dispatch_decision decision;
     decision.token = item.request.token;
-    decision.reason = reason;
+    decision.reason =
+            cause == refusal_cause::RetryBudget ? error_kind::Overloaded : rejectionReason(item);
+    decision.cause = cause;
+    decision.priority = item.request.priority;
     decision.retryAfter =
             admission_policy::retryAfter(admissionInputFor(item, now), decision.token);
     decision.waited = now - item.request.arrival;
@@ -546,7 +552,7 @@
     }
     for (const auto &item : tooLate) {
         m_waiting.erase(item.request.token);
-        reject(item, rejectionReason(item), now, decisions);
+        reject(item, refusal_cause::TooLate, now, decisions);
     }
 }
 
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -230,6 +230,8 @@
         const auto decision = std::move(m_undelivered.front());
         m_undelivered.pop_front();
         m_environment.metrics.observeQueueWait(m_name, decision.waited);
+        if (decision.cause != refusal_cause::None)
+            m_environment.metrics.countRefusal(m_name, decision.priority, decision.cause);
         m_environment.onDecision(decision);
     }
 }
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -26,6 +26,23 @@
 
 } // namespace
 
+std::string_view nameOf(refusal_cause cause)
+{
+    switch (cause) {
+    case refusal_cause::None:
+        return "none";
+    case refusal_cause::NoRoom:
+        return "no_room";
+    case refusal_cause::QueueFull:
+        return "queue_full";
+    case refusal_cause::TooLate:
+        return "too_late";
+    case refusal_cause::RetryBudget:
+        return "retry_budget";
+    }
+    return "unknown";
+}
+
 std::string_view nameOf(run_result result)
 {
     switch (result) {
@@ -64,6 +81,8 @@
                            m_registry))
     , m_retries(family(prometheus::BuildCounter(), "clementinebeam_gateway_retries_total",
                        "Requests sent to another target", m_registry))
+    , m_refusals(family(prometheus::BuildCounter(), "clementinebeam_gateway_refused_total",
+                        "Requests that the dispatcher rejected", m_registry))
     , m_storeCalls(family(prometheus::BuildCounter(), "clementinebeam_gateway_store_calls_total",
                           "Calls to the platform's store", m_registry))
     , m_moves(family(prometheus::BuildCounter(), "clementinebeam_gateway_range_moves_total",
@@ -134,6 +153,15 @@
     m_retries.Add({{"service", std::string(service)}, {"reason", std::string(reason)}}).Increment();
 }
 
+void gateway_metrics::countRefusal(std::string_view service, int priority, refusal_cause cause)
+{
+    m_refusals
+            .Add({{"service", std::string(service)},
+                  {"priority", std::to_string(priority)},
+                  {"cause", std::string(nameOf(cause))}})
+            .Increment();
+}
+
 void gateway_metrics::countStoreCall(std::string_view call, std::string_view result)
 {
     ++m_recentStoreCalls[std::string(call)];
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -39,6 +39,9 @@
     /// @param reason why the previous target failed.
     void countRetry(std::string_view service, std::string_view reason);
 
+    /// Counts a request that a dispatcher of this process rejected.
+    void countRefusal(std::string_view service, int priority, refusal_cause cause);
+
     /// Counts a finished call to the store.
     /// @param call kind of the call.
     /// @param result name of its store_failure.
@@ -90,6 +93,7 @@
     prometheus::Family<prometheus::Histogram> &m_waits;
     prometheus::Family<prometheus::Histogram> &m_targetTimes;
     prometheus::Family<prometheus::Counter> &m_retries;
+    prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_moves;
     prometheus::Family<prometheus::Counter> &m_heldBack;
@@ -113,4 +117,8 @@
 /// @return its name in logs and metrics; a static string.
 std::string_view nameOf(run_result result);
 
+/// @param cause why a dispatcher rejected a request.
+/// @return its name in metrics; a static string.
+std::string_view nameOf(refusal_cause cause);
+
 } // namespace clementinebeam
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -224,6 +224,7 @@
     enqueue(5, 0);
     BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
     BOOST_CHECK_EQUAL(decisions[0].token, 4U);
+    BOOST_CHECK(decisions[0].cause == refusal_cause::QueueFull);
     BOOST_CHECK(decisions[0].target.empty());
     BOOST_CHECK(dispatcher.isWaiting(5));
     enqueue(6, 1);
