--- a/tests/unit/waitingordertest.cpp
+++ b/tests/unit/waitingordertest.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE waitingorder
-#include "clementinebeam/admission/requestkinds.h"
 #include "clementinebeam/admission/waitingorder.h"
+#include "clementinebeam/admission/requestkinds.h"
 #include "clementinebeam/dispatch/servicedispatcher.h"
 
 #include <algorithm>
