Take over on instances that lack only a fast link before small ones

With the link counted, those of 0.25 of a processor were as small as those of 0.075, one of which joined first, got all parts and coordinated all services. It ran 0.6 s behind and sent 34 requests on after their callers had left (GONE).

Change: instances with a large share and a slow link join after 2.0 s, between the large (1.6 s) and the small ones (2.5 s).

--- a/src/gateway/internal/candidacy.cpp
+++ b/src/gateway/internal/candidacy.cpp
@@ -18,9 +18,11 @@
 /// How long a coordinator must be missing, counted from the first report of it, before an instance
 /// outside the group becomes a candidate. After a loss, the coordinator's membership lasts up to
 /// 1.4 s; then a member of the group claims within half a second, so that a takeover takes up to
-/// 1.9 s. Large instances outside the group may join it before that time is over, small ones only
-/// afterwards.
+/// 1.9 s. Large instances outside the group may join it before that time is over, others only
+/// afterwards: first those that lack only a fast link. A small instance that coordinates all
+/// services answers neither other instances nor its own callers in time.
 constexpr milliseconds LARGE_CANDIDACY_DELAY{1600};
+constexpr milliseconds SLOW_LINK_CANDIDACY_DELAY{2000};
 constexpr milliseconds SMALL_CANDIDACY_DELAY{2500};
 /// A coordinator counts as missing for this long after the last report of it.
 constexpr milliseconds MISSING_REPORT_LIFETIME{2000};
@@ -31,7 +33,8 @@
 } // namespace
 
 candidacy::candidacy(double processorShare, double linkMbps)
-    : m_isLarge(processorShare >= LARGE_SHARE && linkMbps >= FAST_LINK_MBPS)
+    : m_hasLargeShare(processorShare >= LARGE_SHARE)
+    , m_isLarge(m_hasLargeShare && linkMbps >= FAST_LINK_MBPS)
 { }
 
 void candidacy::noteMissing(const service_name &service, instant now)
@@ -57,12 +60,19 @@
     });
 }
 
+milliseconds candidacy::candidacyDelay() const
+{
+    if (m_isLarge)
+        return LARGE_CANDIDACY_DELAY;
+    return m_hasLargeShare ? SLOW_LINK_CANDIDACY_DELAY : SMALL_CANDIDACY_DELAY;
+}
+
 bool candidacy::shouldBeCandidate(bool isCoordinating, bool holdsPart, instant now)
 {
     // A large instance starts as a candidate: at the start of the system no instance holds a part
     // yet, and all large instances form the group.
     const bool wasNeverCandidate = m_candidateUntil == instant{};
-    const auto delay = m_isLarge ? LARGE_CANDIDACY_DELAY : SMALL_CANDIDACY_DELAY;
+    const auto delay = candidacyDelay();
     const bool isMember = m_isLarge && (holdsPart || wasNeverCandidate);
     if (isMember || isCoordinating || isAnyMissingFor(delay, now))
         m_candidateUntil = now + CANDIDACY_RETENTION;
--- a/src/gateway/internal/candidacy.h
+++ b/src/gateway/internal/candidacy.h
@@ -57,7 +57,9 @@
     };
 
     bool isAnyMissingFor(std::chrono::milliseconds time, instant now) const;
+    std::chrono::milliseconds candidacyDelay() const;
 
+    const bool m_hasLargeShare;
     const bool m_isLarge;
     std::map<service_name, missing_period> m_missing;
     instant m_candidateUntil{}; ///< Zero if the instance was never a candidate.
--- a/tests/platform/candidacytest.cpp
+++ b/tests/platform/candidacytest.cpp
@@ -31,6 +31,21 @@
     BOOST_CHECK(!decision.shouldBeCandidate(false, false, START));
 }
 
+// Guards against one of the smallest instances that takes all services over when all large ones are
+// lost, while others lack only a fast link: it sent requests on 0.6 s after their callers had left.
+BOOST_AUTO_TEST_CASE(instances_on_a_slow_link_take_over_before_small_ones)
+{
+    candidacy slowLink(LARGE_SHARE, SLOW_LINK_MBPS);
+    candidacy small(SMALL_SHARE, SLOW_LINK_MBPS);
+    for (milliseconds time(0); time < milliseconds(2500); time += milliseconds(100)) {
+        for (auto *decision : {&slowLink, &small})
+            decision->noteMissing("orders", START + time);
+        BOOST_CHECK_EQUAL(slowLink.shouldBeCandidate(false, false, START + time),
+                          time >= milliseconds(2000));
+        BOOST_CHECK(!small.shouldBeCandidate(false, false, START + time));
+    }
+}
+
 // Of a hundred large instances only eight hold one of the eight parts. The others must leave the
 // group, as membership costs two calls to the store a second.
 BOOST_AUTO_TEST_CASE(large_instances_without_a_part_leave_the_group)
