--- a/src/gateway/internal/candidacy.h
+++ b/src/gateway/internal/candidacy.h
@@ -16,7 +16,7 @@
 /// take it for silent. On a slow link, these datagrams wait behind the ownership records that it
 /// stores and reads. Large instances, with a large share and a fast link, are therefore candidates
 /// from the start. Small ones become candidates only if a coordinator is missing for longer than a
-/// takeover among the larger ones takes.
+/// takeover among the larger ones takes; those that lack only a fast link come before the others.
 ///
 /// The store divides a fixed number of parts among the members of the group, and every member pays
 /// for its membership with calls to the store. In a large fleet most members would hold no part. A
