--- a/review/standins-2/slowreader.cpp
+++ b/review/standins-2/slowreader.cpp
@@ -63,7 +63,8 @@
     }
 }
 
-void callRepeatedly(shared_state &state, std::uint16_t port, int client, bool isSlow)
+/// @param isHupped whether the gateway at the port gets the SIGHUP.
+void callRepeatedly(shared_state &state, std::uint16_t port, int client, bool isHupped, bool isSlow)
 {
     auto connection = connectTo(port, RECEIVE_BUFFER);
     for (int number = 0; number < 4; ++number) {
@@ -111,8 +112,8 @@
         const std::lock_guard lock(state.mutex);
         // Only what was passed on to a worker and ended before its deadline counts.
         const bool isCut = state.runs.contains(id) && time < DEADLINE && !isWhole;
-        const bool isAfterHup =
-                state.hupAt > 0 && sentAt >= state.hupAt && sentAt <= state.hupAt + CONFIG_APPLY_MS;
+        const bool isAfterHup = isHupped && state.hupAt > 0 && sentAt >= state.hupAt
+                && sentAt <= state.hupAt + CONFIG_APPLY_MS;
         ++(isCut ? state.cut : state.others);
         state.cutAfterHup += isCut && isAfterHup ? 1 : 0;
         connection.reset();
@@ -152,21 +153,25 @@
         platform.put("keyed.servers", "w" + std::to_string(number),
                      jsonEntry(port, "bundles", "ready", 1));
     }
-    gateway process(argv[1], argv[2], "g1", storePort);
-    process.start();
-    if (!waitUntil([&] { return process.isReady(); }, milliseconds(8000)))
+    gateway first(argv[1], argv[2], "g1", storePort);
+    gateway second(argv[1], argv[2], "g2", storePort);
+    first.start();
+    second.start();
+    if (!waitUntil([&] { return first.isReady() && second.isReady(); }, milliseconds(8000)))
         std::_Exit(2);
     std::this_thread::sleep_for(milliseconds(3500));
     std::vector<std::thread> clients;
     for (int client = 0; client < CLIENTS; ++client)
-        clients.emplace_back([&state, &process, client, hasTrouble] {
-            callRepeatedly(state, process.port(), client, hasTrouble);
+        clients.emplace_back([&, client] {
+            const bool isHupped = client % 2 == 0;
+            callRepeatedly(state, isHupped ? first.port() : second.port(), client, isHupped,
+                           hasTrouble);
         });
     // While the first requests run. The slow ones follow them.
     std::this_thread::sleep_for(WORK / 2);
-    process.signal(SIGHUP);
+    first.signal(SIGHUP);
     state.hupAt = record.elapsed();
-    record.line("SIGHUP");
+    record.line("SIGHUP to g1");
     for (auto &client : clients)
         client.join();
     const auto summary = "complete " + std::to_string(state.complete) + ", cut "
@@ -176,7 +181,9 @@
     std::cout << summary << std::endl;
     const int result = state.complete == 0 ? 2 : state.cutAfterHup > 0 || state.cut > 3 ? 1 : 0;
     platform.stop();
-    process.signal(SIGKILL);
-    process.waitForEnd(milliseconds(2000));
+    for (auto *process : {&first, &second}) {
+        process->signal(SIGKILL);
+        process->waitForEnd(milliseconds(2000));
+    }
     std::_Exit(result);
 }
