--- a/review/standins-2/cutanswer.cpp
+++ b/review/standins-2/cutanswer.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds PIECE_INTERVAL{30};
 constexpr int RECEIVE_BUFFER = 65536;
 constexpr milliseconds DEADLINE{10000};
+/// "grace" of the pages.
+constexpr long GRACE_MS = 6000;
 
 struct sent_request {
     std::string id;
@@ -50,7 +52,9 @@
     recorder &record;
     run_log &runs;
     std::atomic<bool> isOver{false};
-    std::atomic<std::uint16_t> port{0}; ///< Of the gateway that new connections go to.
+    std::atomic<std::uint16_t> port{0};        ///< Of the gateway that new connections go to.
+    std::atomic<std::uint16_t> stoppedPort{0}; ///< Of the gateway that is stopped.
+    std::atomic<long> stopAt{-1};              ///< When the stop begins; -1 before it.
     std::atomic<int> complete{0};
     std::atomic<int> cut{0};
 };
@@ -104,11 +108,20 @@
     return answered;
 }
 
+/// @return whether a connection to a port that ends now ends around the planned work.
+bool isAroundStop(const shared_state &state, std::uint16_t port)
+{
+    const auto now = state.record.elapsed();
+    return port == state.stoppedPort && state.stopAt >= 0 && now >= state.stopAt
+            && now <= state.stopAt + GRACE_MS + 1000;
+}
+
 void callRepeatedly(shared_state &state, int client)
 {
     int number = 0;
     while (!state.isOver) {
-        const auto connection = connectTo(state.port, RECEIVE_BUFFER);
+        const std::uint16_t port = state.port;
+        const auto connection = connectTo(port, RECEIVE_BUFFER);
         if (!connection) {
             std::this_thread::sleep_for(milliseconds(100));
             continue;
@@ -140,7 +153,7 @@
                                   + std::to_string(received)
                                   + " bytes, run: " + (hasRun ? "yes" : "no"));
                 // A request that was not passed on to a worker does not count.
-                if (hasRun && isInTime)
+                if (hasRun && isInTime && isAroundStop(state, port))
                     ++state.cut;
             }
         }
@@ -202,6 +215,9 @@
     record.line("stop begins: complete " + std::to_string(state.complete) + ", cut "
                 + std::to_string(state.cut));
     // The balancer sends new connections elsewhere from two seconds after the stop on.
+    // Without the stop, the same time and machine are judged.
+    state.stoppedPort = first.port();
+    state.stopAt = record.elapsed();
     if (hasTrouble) {
         first.signal(SIGTERM);
         std::this_thread::sleep_for(milliseconds(2000));
