--- a/review/standins-2/slowreader.cpp
+++ b/review/standins-2/slowreader.cpp
@@ -179,7 +179,7 @@
             + std::to_string(state.cutAfterHup) + "), others " + std::to_string(state.others);
     record.line(summary);
     std::cout << summary << std::endl;
-    const int result = state.complete == 0 ? 2 : state.cutAfterHup > 0 || state.cut > 3 ? 1 : 0;
+    const int result = state.complete == 0 ? 2 : state.cutAfterHup > 0 ? 1 : 0;
     platform.stop();
     for (auto *process : {&first, &second}) {
         process->signal(SIGKILL);
