Log why an answer was cut off

Change: event=answer_cut names the cause, whether the process still held a part of the answer, and how many bytes the caller had not acknowledged.

--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -132,6 +132,7 @@
     void sendContinue();
     void resetParser();
     void armTimer(std::chrono::milliseconds limit);
+    void closeFor(std::string_view cause);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/include/clementinebeam/asynchttp/sockets.h
+++ b/include/clementinebeam/asynchttp/sockets.h
@@ -3,6 +3,8 @@
 #include "clementinebeam/asynchttp/httpmessages.h"
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <system_error>
 
 namespace clementinebeam {
@@ -30,6 +32,12 @@
 ///     ends.
 void dropUndelivered(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit);
 
+/// @param socket a connected socket.
+/// @return the number of bytes that were written to the socket and that the peer has not
+///     acknowledged yet; an unacknowledged end of the stream counts as one. Nothing if the system
+///     does not tell.
+std::optional<std::size_t> undeliveredBytes(boost::asio::ip::tcp::socket &socket);
+
 /// Closes a socket; errors are ignored, as the caller could not handle them.
 /// @param socket any socket, open or not.
 void closeQuietly(boost::asio::ip::tcp::socket &socket);
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -116,7 +116,7 @@
             return;
         if (self->m_isWriting)
             self->m_handler.onClosedForLimit("answer_unread");
-        self->close();
+        self->closeFor("time_limit");
     });
 }
 
@@ -133,7 +133,7 @@
                 if (self->m_isClosed)
                     return;
                 if (error) {
-                    self->close();
+                    self->closeFor(error.message());
                     return;
                 }
                 self->onBytes(size);
@@ -147,7 +147,7 @@
     if (m_isRefused || m_isIgnoringAhead) {
         m_drainedBytes += size;
         if (m_drainedBytes > MAX_DRAINED_BYTES && !m_isWriting)
-            close();
+            closeFor("drained_bytes");
         return;
     }
     if (!tryHold(neededBytes(size))) {
@@ -291,7 +291,7 @@
         return;
     }
     m_handler.onClosedForLimit(m_isWriting ? "answer_unread" : "memory");
-    close();
+    closeFor("memory");
 }
 
 bool server_connection::mayGiveUp() const
@@ -314,7 +314,7 @@
     m_messageBytes = m_answer.body().capacity();
     if (!hold(neededBytes(0)) && m_messageBytes > MAX_PIPELINED_BYTES) {
         m_handler.onClosedForLimit("answer_memory");
-        close();
+        closeFor("memory");
         return;
     }
     m_serializer.emplace(m_answer);
@@ -331,7 +331,7 @@
                     return;
                 self->m_lastProgress = boot_clock::now();
                 if (error)
-                    self->close();
+                    self->closeFor(error.message());
                 else if (self->m_serializer->is_done())
                     self->onAnswerSent();
                 else
@@ -350,7 +350,7 @@
         return;
     }
     if (m_isLastRequest) {
-        close();
+        closeFor("last_answer_sent");
         return;
     }
     resetParser();
@@ -389,10 +389,22 @@
 }
 
 void server_connection::close()
+{
+    closeFor("closed");
+}
+
+/// @param cause why, for the log: answers that end early are lost for callers, who can't tell why.
+void server_connection::closeFor(std::string_view cause)
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
+    const auto undelivered = undeliveredBytes(m_socket).value_or(0);
+    if (m_isWriting || undelivered > 0)
+        log_line(log_level::Info, "answer_cut")
+                .add("cause", cause)
+                .add("written", m_isWriting ? 0 : 1)
+                .add("undelivered", undelivered);
     m_timer.cancel();
     closeQuietly(m_socket);
     releaseReceived();
--- a/src/asynchttp/internal/sockets.cpp
+++ b/src/asynchttp/internal/sockets.cpp
@@ -2,7 +2,9 @@
 
 #include "clementinebeam/observability/logline.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace clementinebeam {
 
@@ -63,6 +65,14 @@
         log_line(log_level::Debug, "socket_option_failed").add("option", SO_LINGER);
 }
 
+std::optional<std::size_t> undeliveredBytes(boost::asio::ip::tcp::socket &socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(bytes);
+}
+
 void closeQuietly(boost::asio::ip::tcp::socket &socket)
 {
     boost::system::error_code ignored;
