--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -85,20 +85,21 @@
 
     /// Closes the connection after the current request, or at once if there is none. Received bytes
     /// that were not read yet count as a request. A connection without any request so far stays
-    /// open for a short time, because its first request may be in transit.
+    /// open for a short time, because its first request may be in transit. In all cases, answers
+    /// that were given are delivered first.
     void finish();
 
     /// Closes the connection at once and calls the handler of setDisconnectHandler(), if there is
     /// one.
     void close();
 
-    /// @return whether a request is being read, handled or answered, or finish() waits for one.
+    /// @return whether a request is being read, handled or answered, or finish() waits for one, or
+    ///     the last answer may not have reached the caller yet.
     bool isBusy() const
     {
-        if (m_isDraining)
-            return false;
         const bool hasPartialRequest = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
-        return m_isHandling || m_isWriting || m_isAwaitingRequest || hasPartialRequest;
+        return m_isHandling || m_isWriting || m_isAwaitingRequest || m_isDraining
+                || hasPartialRequest;
     }
 
     bool isClosed() const { return m_isClosed; }
@@ -124,7 +125,10 @@
     void refuseCall(unsigned status, std::string_view reason);
     void continueWrite();
     void onAnswerSent();
+    bool isDelivered();
+    void closeWhenDelivered();
     void startDraining();
+    void awaitDelivery();
     std::size_t neededBytes(std::size_t arriving) const;
     void ignoreSentAhead();
     void parse();
@@ -151,7 +155,9 @@
     std::size_t m_messageBytes = 0;  ///< Memory of the request being handled, or of its answer.
     std::size_t m_headBytes = 0;     ///< Memory of the current request's fields.
     std::size_t m_receivedBytes = 0; ///< Of the current request.
-    std::size_t m_drainedBytes = 0;  ///< Dropped behind a refusal.
+    std::size_t m_drainedBytes = 0;  ///< Dropped behind the last answer.
+    std::size_t m_undelivered =
+            0; ///< Bytes that the caller had not acknowledged when last checked.
     bool m_isReading = false;
     bool m_isHandling = false;
     bool m_isWriting = false;
@@ -159,7 +165,7 @@
     bool m_isClosed = false;
     bool m_hasSentContinue = false;
     bool m_isRefused = false;         ///< The request was refused before it was complete.
-    bool m_isDraining = false;        ///< Bytes behind a refusal are dropped, then it closes.
+    bool m_isDraining = false;        ///< Bytes behind the last answer are dropped, then it closes.
     bool m_isIgnoringAhead = false;   ///< What is sent ahead is not read any more.
     bool m_isUnused = true;           ///< No byte has been received.
     bool m_isAwaitingRequest = false; ///< finish() keeps the connection open for one more request.
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -20,10 +20,12 @@
 constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
 /// How long finish() keeps a connection open whose request may be in transit or is not read yet.
 constexpr std::chrono::milliseconds LAST_REQUEST_TIMEOUT{400};
-/// How long, and for how many bytes, a refused request is read on, so that its caller, which may
-/// still be sending, can read the answer: a close with unread bytes would discard it.
+/// How long, and for how many bytes, a connection is read on after its last answer was delivered.
+/// Its caller may still be sending, and a close with unread bytes discards what was not read yet.
 constexpr std::chrono::milliseconds DRAIN_TIME{1000};
 constexpr std::size_t MAX_DRAINED_BYTES = 1UL << 20U;
+/// Interval at which the delivery of the last answer is checked.
+constexpr std::chrono::milliseconds DELIVERY_CHECK_INTERVAL{100};
 /// An answer without progress for this time is one that its caller doesn't read.
 constexpr std::chrono::milliseconds STALL_TIME{500};
 /// Memory of one field of a head besides its text.
@@ -89,7 +91,7 @@
     auto stage = connection_stage::Idle;
     if (m_isHandling)
         stage = connection_stage::Handling;
-    else if (m_isWriting)
+    else if (m_isWriting || (m_isDraining && m_undelivered > 0))
         stage = connection_stage::Sending;
     else if (!m_isDraining && isBusy())
         stage = connection_stage::Receiving;
@@ -112,17 +114,21 @@
 {
     m_timer.expires_after(limit);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (error || self->m_isHandling || self->m_isClosed)
+        if (error || self->m_isHandling || self->m_isDraining || self->m_isClosed)
             return;
-        if (self->m_isWriting)
-            self->m_handler.onClosedForLimit("answer_unread");
+        if (!self->m_isWriting) {
+            self->closeWhenDelivered();
+            return;
+        }
+        self->m_handler.onClosedForLimit("answer_unread");
         self->closeFor("time_limit");
     });
 }
 
 void server_connection::startRead()
 {
-    const bool isPaused = m_isIgnoringAhead && !m_isDraining;
+    const bool isPaused =
+            (m_isIgnoringAhead && !m_isDraining) || m_drainedBytes > MAX_DRAINED_BYTES;
     if (m_isReading || m_isClosed || isPaused || m_buffer.size() >= MAX_PIPELINED_BYTES)
         return;
     m_isReading = true;
@@ -144,10 +150,10 @@
 {
     const scope_exit readOn([this] { startRead(); });
     const bool isReceiving = !m_isHandling && !m_isWriting;
-    if (m_isRefused || m_isIgnoringAhead) {
+    if (m_isRefused || m_isIgnoringAhead || m_isDraining) {
         m_drainedBytes += size;
-        if (m_drainedBytes > MAX_DRAINED_BYTES && !m_isWriting)
-            closeFor("drained_bytes");
+        if (m_drainedBytes > MAX_DRAINED_BYTES && m_isDraining && isDelivered())
+            close();
         return;
     }
     if (!tryHold(neededBytes(size))) {
@@ -341,18 +347,15 @@
 
 void server_connection::onAnswerSent()
 {
+    const bool isCloseAnnounced = !m_answer.keep_alive();
     m_isWriting = false;
     m_messageBytes = 0;
     m_serializer.reset();
     m_answer = {};
-    if (m_isRefused || m_isIgnoringAhead) {
+    if (isCloseAnnounced || m_isIgnoringAhead) {
         startDraining();
         return;
     }
-    if (m_isLastRequest) {
-        closeFor("last_answer_sent");
-        return;
-    }
     resetParser();
     if (m_buffer.size() == 0 && m_buffer.capacity() > MAX_IDLE_BUFFER)
         m_buffer.shrink_to_fit();
@@ -361,19 +364,63 @@
     const scope_exit readOn([this] { startRead(); });
     if (m_buffer.size() > 0)
         parse();
+    // The head of the answer went out before finish() was called, without announcing the close.
+    else if (m_isLastRequest)
+        finish();
+}
+
+bool server_connection::isDelivered()
+{
+    return undeliveredBytes(m_socket).value_or(0) == 0;
+}
+
+/// Closes an idle connection. The system may still hold a part of the last answer, which it would
+/// discard if the caller sent anything after the close.
+void server_connection::closeWhenDelivered()
+{
+    if (isDelivered())
+        close();
+    else
+        startDraining();
 }
 
+/// Ends the stream to the caller and drops what it still sends, until it closes the connection.
+/// Answers callers that read slowly, or that send on, while the connection has to end.
 void server_connection::startDraining()
 {
     m_isDraining = true;
+    m_isAwaitingRequest = false;
     m_stageStart = boot_clock::now();
+    m_lastProgress = m_stageStart;
+    releaseReceived();
     hold(0);
     boost::system::error_code ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    armTimer(DRAIN_TIME);
+    awaitDelivery();
     startRead();
 }
 
+void server_connection::awaitDelivery()
+{
+    const auto now = boot_clock::now();
+    const auto undelivered = undeliveredBytes(m_socket).value_or(0);
+    if (undelivered != m_undelivered)
+        m_lastProgress = now;
+    m_undelivered = undelivered;
+    const auto limit = undelivered > 0 ? m_handler.limits().idleTimeout : DRAIN_TIME;
+    if (now >= m_lastProgress + limit) {
+        if (undelivered > 0)
+            m_handler.onClosedForLimit("answer_unread");
+        closeFor("time_limit");
+        return;
+    }
+    m_timer.expires_after(DELIVERY_CHECK_INTERVAL);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->m_isClosed)
+            self->awaitDelivery();
+    });
+}
+
 void server_connection::finish()
 {
     m_isLastRequest = true;
@@ -381,7 +428,7 @@
         return;
     boost::system::error_code error;
     if (!m_isUnused && m_socket.available(error) == 0) {
-        close();
+        closeWhenDelivered();
         return;
     }
     m_isAwaitingRequest = true;
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -20,7 +20,7 @@
     return {boost::asio::ip::make_address_v4("127.0.0.1"), PORT};
 }
 
-/// Answers each request with the request's body after a delay.
+/// Answers each request with the request's body, or a given one, after a delay.
 class slow_handler : public i_request_handler
 {
 public:
@@ -32,19 +32,21 @@
     {
         ++handled;
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(50));
-        timer->async_wait([timer, connection, body = call.body()](boost::system::error_code) {
+        const auto body = answerBody.empty() ? call.body() : answerBody;
+        timer->async_wait([timer, connection, body](boost::system::error_code) {
             connection->respond(makeOwnAnswer(200, body));
         });
     }
-    const server_limits &limits() const override { return m_limits; }
+    const server_limits &limits() const override { return serverLimits; }
     std::shared_ptr<memory_account> memory() override { return account; }
 
     std::shared_ptr<memory_account> account; ///< None by default.
+    std::string answerBody;                  ///< Empty for the request's body.
+    server_limits serverLimits;
     int handled = 0;
 
 private:
     boost::asio::io_context &m_context;
-    server_limits m_limits;
 };
 
 /// A listener and a caller, to stop the listener at different stages of a request.
@@ -66,6 +68,8 @@
         listener.finishAll();
     }
 
+    void run(milliseconds time) { context.run_for(time); }
+
     /// @return all that the caller receives from now on; waits long enough for the connection to
     /// end.
     std::string received()
@@ -159,6 +163,104 @@
     BOOST_CHECK_EQUAL(listener.connectionCount(), 0U);
 }
 
+namespace {
+
+/// More than fits into the receive buffer of a caller that does not read.
+constexpr std::size_t LARGE_BODY_BYTES = 540000;
+/// More than the system takes at once, so that the connection goes on writing.
+constexpr std::size_t HUGE_BODY_BYTES = 12000000;
+/// Time for a request to be handled, and for the system to take its answer.
+constexpr milliseconds ANSWER_TIME{150};
+
+/// @return the number of bytes behind the first head.
+std::size_t bodyBytes(const std::string &answers)
+{
+    const auto headEnd = answers.find("\r\n\r\n");
+    return headEnd == std::string::npos ? 0 : answers.size() - headEnd - 4;
+}
+
+} // namespace
+
+// Guards against answers that are cut off by a stop: the connection was closed while the system
+// still held most of the last answer, which it dropped when the caller sent its next request.
+BOOST_FIXTURE_TEST_CASE(last_answer_reaches_a_slow_caller_that_sends_on, listener_fixture)
+{
+    handler.answerBody = std::string(LARGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(milliseconds(20));
+    stop();
+    run(ANSWER_TIME);
+    send(REQUEST);
+    run(milliseconds(20));
+    BOOST_CHECK(listener.isBusy());
+    const auto text = received();
+    BOOST_CHECK(text.find("Connection: close") != std::string::npos);
+    BOOST_CHECK_EQUAL(bodyBytes(text), LARGE_BODY_BYTES);
+    BOOST_CHECK_EQUAL(handler.handled, 1);
+    caller.close();
+    run(milliseconds(20));
+    BOOST_CHECK(!listener.isBusy());
+}
+
+// As above, for an answer that was given before the stop and does not announce the close.
+BOOST_FIXTURE_TEST_CASE(answer_given_before_a_stop_reaches_a_slow_caller_that_sends_on,
+                        listener_fixture)
+{
+    handler.answerBody = std::string(LARGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(ANSWER_TIME);
+    stop();
+    send(REQUEST);
+    run(milliseconds(20));
+    BOOST_CHECK_EQUAL(bodyBytes(received()), LARGE_BODY_BYTES);
+}
+
+// Guards against dropping a request that was read behind an answer without "Connection: close".
+BOOST_FIXTURE_TEST_CASE(request_read_behind_an_answer_that_keeps_the_connection_is_answered,
+                        listener_fixture)
+{
+    handler.answerBody = std::string(HUGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(ANSWER_TIME);
+    send(REQUEST);
+    run(milliseconds(20));
+    stop();
+    const auto text = received();
+    BOOST_CHECK_EQUAL(handler.handled, 2);
+    const auto second = text.find("HTTP/1.1 200 OK", 1);
+    BOOST_REQUIRE(second != std::string::npos);
+    BOOST_CHECK_EQUAL(bodyBytes(text.substr(0, second)), HUGE_BODY_BYTES);
+    BOOST_CHECK(text.find("Connection: close", second) != std::string::npos);
+    BOOST_CHECK_EQUAL(bodyBytes(text.substr(second)), HUGE_BODY_BYTES);
+}
+
+// Guards against idle connections that discard an answer: its caller reads nothing for longer than
+// the idle timeout and then sends the next request.
+BOOST_FIXTURE_TEST_CASE(answer_outlives_the_idle_timeout_of_its_connection, listener_fixture)
+{
+    handler.serverLimits.idleTimeout = milliseconds(400);
+    handler.answerBody = std::string(LARGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(milliseconds(500)); // The answer is given after 50 ms.
+    send(REQUEST);
+    run(milliseconds(20));
+    BOOST_CHECK_EQUAL(bodyBytes(received()), LARGE_BODY_BYTES);
+}
+
+// An answer that is never read must not hold the connection, and a stop, for ever.
+BOOST_FIXTURE_TEST_CASE(connection_whose_last_answer_is_never_read_ends, listener_fixture)
+{
+    handler.serverLimits.idleTimeout = milliseconds(300);
+    handler.answerBody = std::string(LARGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(milliseconds(20));
+    stop();
+    run(ANSWER_TIME);
+    BOOST_CHECK(listener.isBusy());
+    run(milliseconds(600));
+    BOOST_CHECK(!listener.isBusy());
+}
+
 // Guards against a read that is under way while the buffered request behind the current one is
 // parsed: bytes of an earlier request were parsed again. An order would have run twice.
 BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_in_order)
