--- a/include/clementinebeam/admission/connectionpolicy.h
+++ b/include/clementinebeam/admission/connectionpolicy.h
@@ -19,7 +19,7 @@
 /// What is known about one connection of a caller.
 struct connection_summary {
     connection_stage stage = connection_stage::Idle;
-    instant since;            ///< When the stage began.
+    instant since;            ///< When the stage began; of Sending, when it last made progress.
     std::size_t received = 0; ///< Bytes of the incomplete request.
 };
 
@@ -27,8 +27,10 @@
 /// more connections than the process has descriptors for.
 /// @param connections the open connections.
 /// @param now the current time.
-/// @return the one that has been idle for longest, else the one that has sent least for its age;
-/// none if requests are being handled on all.
+/// @return the one that has been idle for longest, else the one that has sent least for its age,
+/// else
+///     the one whose caller has not read its answer for longest, for 4 s at least; none if requests
+///     are being handled, or answers sent, on all.
 std::optional<std::size_t> connectionToClose(const std::vector<connection_summary> &connections,
                                              instant now);
 
--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -102,6 +102,7 @@
     bool hasUnreadBytes() const;
     void onConnected(const boost::system::error_code &error);
     void startWrite();
+    void updateUnacknowledgedLimit();
     void startRead();
     void onBytes(std::size_t size);
     bool reserve(std::size_t size);
@@ -122,6 +123,7 @@
     bool m_isWriting = false;
     bool m_usesKeepAliveProbes = false;
     std::optional<std::chrono::milliseconds> m_undeliveredLimit;
+    bool m_isUnacknowledgedLimited = false; ///< As set on the socket.
     bool m_hasSent = false;
     std::size_t m_droppedAnswers = 0;
     std::size_t m_interimAnswers = 0;
--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -78,7 +78,9 @@
     /// Sends the answer to the current request; does nothing if there is none or the connection is
     /// closed.
     /// @param answer the answer, after prepare_payload().
-    void respond(http_answer answer);
+    /// @param deliverBy until when the caller may take the answer: one that reads nothing keeps its
+    ///     connection until then, and at least for the idle timeout.
+    void respond(http_answer answer, instant deliverBy = {});
 
     /// @param handler called if the connection closes before the answer; cleared by respond().
     void setDisconnectHandler(disconnect_handler handler) { m_onDisconnect = std::move(handler); }
@@ -125,6 +127,7 @@
     void refuseCall(unsigned status, std::string_view reason);
     void continueWrite();
     void onAnswerSent();
+    instant deliveryEnd() const;
     bool isDelivered();
     void closeWhenDelivered();
     void startDraining();
@@ -151,7 +154,8 @@
     std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>>
             m_serializer;
     instant m_stageStart{};          ///< When the connection became idle or began to receive.
-    instant m_lastProgress{};        ///< When bytes of the current answer were last sent.
+    instant m_lastProgress{};        ///< When bytes of the last answer were last sent.
+    instant m_deliverBy{};           ///< Until when the caller may take the last answer.
     std::size_t m_messageBytes = 0;  ///< Memory of the request being handled, or of its answer.
     std::size_t m_headBytes = 0;     ///< Memory of the current request's fields.
     std::size_t m_receivedBytes = 0; ///< Of the current request.
--- a/include/clementinebeam/asynchttp/sockets.h
+++ b/include/clementinebeam/asynchttp/sockets.h
@@ -9,11 +9,18 @@
 
 namespace clementinebeam {
 
-/// Sets the options of all connections: TCP_NODELAY, and TCP_USER_TIMEOUT to end a connection whose
-/// peer no longer acknowledges data.
+/// Sets the options of all connections: TCP_NODELAY.
 /// @param socket a connected socket.
 void prepareSocket(boost::asio::ip::tcp::socket &socket);
 
+/// Makes a connection end when its peer acknowledges no data for some time. The system does not
+/// tell a peer that is gone from one that reads nothing: both acknowledge nothing that is left to
+/// send. Only for connections on which the peer is sent less than it takes without reading.
+/// @param socket a connected socket.
+/// @param limit longest time for which data may stay unacknowledged or unsent; 0 for the system's
+///     limit, which counts for peers that are gone only.
+void limitUnacknowledged(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit);
+
 /// Opens an acceptor, binds it to an address and listens.
 /// @param acceptor an acceptor that is not open.
 /// @param address where to listen.
--- a/src/admission/internal/connectionpolicy.cpp
+++ b/src/admission/internal/connectionpolicy.cpp
@@ -8,12 +8,29 @@
 
 using std::chrono::microseconds;
 
+/// Time without progress after which an answer is one that its caller does not read.
+constexpr std::chrono::milliseconds STALL_TIME{4000};
+
 double rateOf(const connection_summary &connection, instant now)
 {
     const auto age = std::max<std::int64_t>(1, microseconds(now - connection.since).count());
     return static_cast<double>(connection.received) / static_cast<double>(age);
 }
 
+/// @return the connection whose answer has stalled for longest, or nothing if none has.
+std::optional<std::size_t> longestStalled(const std::vector<connection_summary> &connections,
+                                          instant now)
+{
+    std::optional<std::size_t> found;
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        const auto &candidate = connections[index];
+        if (candidate.stage == connection_stage::Sending && now >= candidate.since + STALL_TIME
+            && (!found || candidate.since < connections[*found].since))
+            found = index;
+    }
+    return found;
+}
+
 } // namespace
 
 std::optional<std::size_t> connectionToClose(const std::vector<connection_summary> &connections,
@@ -39,7 +56,7 @@
             found = index;
         }
     }
-    return found;
+    return found ? found : longestStalled(connections, now);
 }
 
 descriptor_shares shareDescriptors(std::size_t descriptors)
--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -20,6 +20,11 @@
 /// Largest number of received bytes that the parser cannot consume yet, for example in an endless
 /// chunk extension or trailer.
 constexpr std::size_t MAX_UNPARSED_BYTES = 65536;
+/// A connection ends when its peer acknowledges nothing for this time.
+constexpr std::chrono::milliseconds UNACKNOWLEDGED_LIMIT{4000};
+/// Body of a call up to which that holds: any peer takes so much without reading. A peer that reads
+/// a larger one slowly is not gone; whoever made the call limits its duration.
+constexpr std::size_t MAX_LIMITED_BODY = 16384;
 
 } // namespace
 
@@ -103,6 +108,7 @@
 {
     m_isWriting = true;
     m_hasSent = true;
+    updateUnacknowledgedLimit();
     boost::beast::http::async_write(
             m_socket, m_call,
             [self = shared_from_this()](boost::system::error_code error, std::size_t) {
@@ -114,6 +120,15 @@
             });
 }
 
+void client_connection::updateUnacknowledgedLimit()
+{
+    const bool isLimited = m_call.body().size() <= MAX_LIMITED_BODY;
+    if (m_undeliveredLimit || isLimited == m_isUnacknowledgedLimited)
+        return;
+    m_isUnacknowledgedLimited = isLimited;
+    limitUnacknowledged(m_socket, isLimited ? UNACKNOWLEDGED_LIMIT : std::chrono::milliseconds(0));
+}
+
 void client_connection::startRead()
 {
     m_socket.async_read_some(
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -4,6 +4,7 @@
 #include "clementinebeam/kernel/scopeexit.h"
 #include "clementinebeam/observability/logline.h"
 
+#include <algorithm>
 #include <boost/beast/http/write.hpp>
 
 namespace clementinebeam {
@@ -95,7 +96,8 @@
         stage = connection_stage::Sending;
     else if (!m_isDraining && isBusy())
         stage = connection_stage::Receiving;
-    return {stage, m_stageStart, m_receivedBytes};
+    const bool isSending = stage == connection_stage::Sending;
+    return {stage, isSending ? m_lastProgress : m_stageStart, m_receivedBytes};
 }
 
 void server_connection::resetParser()
@@ -306,7 +308,7 @@
     return !m_isHandling && (!m_isWriting || isStalled);
 }
 
-void server_connection::respond(http_answer answer)
+void server_connection::respond(http_answer answer, instant deliverBy)
 {
     m_onDisconnect = nullptr;
     if (m_isClosed || !m_isHandling)
@@ -317,6 +319,7 @@
     if (m_isLastRequest)
         m_answer.keep_alive(false);
     m_lastProgress = boot_clock::now();
+    m_deliverBy = deliverBy;
     m_messageBytes = m_answer.body().capacity();
     if (!hold(neededBytes(0)) && m_messageBytes > MAX_PIPELINED_BYTES) {
         m_handler.onClosedForLimit("answer_memory");
@@ -327,9 +330,15 @@
     continueWrite();
 }
 
+/// @return when an answer ends that its caller does not read.
+instant server_connection::deliveryEnd() const
+{
+    return std::max(m_lastProgress + m_handler.limits().idleTimeout, m_deliverBy);
+}
+
 void server_connection::continueWrite()
 {
-    armTimer(m_handler.limits().idleTimeout);
+    armTimer(std::chrono::ceil<std::chrono::milliseconds>(deliveryEnd() - m_lastProgress));
     http::async_write_some(
             m_socket, *m_serializer,
             [self = shared_from_this()](boost::system::error_code error, std::size_t) {
@@ -407,8 +416,8 @@
     if (undelivered != m_undelivered)
         m_lastProgress = now;
     m_undelivered = undelivered;
-    const auto limit = undelivered > 0 ? m_handler.limits().idleTimeout : DRAIN_TIME;
-    if (now >= m_lastProgress + limit) {
+    const auto end = undelivered > 0 ? deliveryEnd() : m_lastProgress + DRAIN_TIME;
+    if (now >= end) {
         if (undelivered > 0)
             m_handler.onClosedForLimit("answer_unread");
         closeFor("time_limit");
--- a/src/asynchttp/internal/sockets.cpp
+++ b/src/asynchttp/internal/sockets.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// A connection ends when sent data stays unacknowledged for this time, in milliseconds.
-constexpr int USER_TIMEOUT_MS = 4000;
 /// Keep-alive probes of an idle connection: idle time before the first one and interval, in
 /// seconds, and number of unanswered probes after which the connection ends.
 constexpr int KEEP_ALIVE_IDLE_S = 1;
@@ -30,7 +28,12 @@
 {
     boost::system::error_code error;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), error);
-    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+}
+
+void limitUnacknowledged(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit)
+{
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(limit.count()));
 }
 
 std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &acceptor, const tcp_endpoint &address)
@@ -57,8 +60,8 @@
 
 void dropUndelivered(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds limit)
 {
+    limitUnacknowledged(socket, limit);
     const int handle = socket.native_handle();
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
     // Not set by the library, whose destructor of a socket would revoke it.
     const linger reset{1, 0};
     if (::setsockopt(handle, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0)
--- a/src/gateway/internal/requestexchange.cpp
+++ b/src/gateway/internal/requestexchange.cpp
@@ -363,7 +363,7 @@
     m_caller.reset();
     if (m_environment.isStopping)
         caller->finish();
-    caller->respond(std::move(answer));
+    caller->respond(std::move(answer), m_deadline);
 }
 
 void request_exchange::recordEnd(const char *outcome, const char *reason, unsigned status)
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -3,6 +3,7 @@
 #include "clementinebeam/asynchttp/eventloop.h"
 #include "clementinebeam/asynchttp/sockets.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -482,3 +483,36 @@
         BOOST_CHECK_EQUAL(server.ends.front(), boost::asio::error::connection_reset);
     }
 }
+
+// Guards against losing a request whose target reads nothing for some seconds: the system takes it
+// for one that is gone if a limit is set for unacknowledged data.
+BOOST_AUTO_TEST_CASE(large_call_reaches_a_target_that_reads_nothing_for_some_seconds)
+{
+    constexpr std::size_t BODY_BYTES = 540000;
+    boost::asio::io_context context{1};
+    tcp::acceptor acceptor(context, local());
+    tcp::socket target(context);
+    acceptor.async_accept(target, [](boost::system::error_code error) { BOOST_CHECK(!error); });
+    const auto connection =
+            std::make_shared<client_connection>(context, local(), milliseconds(500));
+    auto call = callWithId("id-1");
+    call.method(http::verb::post);
+    call.body() = std::string(BODY_BYTES, 'b');
+    call.prepare_payload();
+    std::optional<exchange_failure> result;
+    connection->exchange(std::move(call), {},
+                         [&](exchange_failure failure, http_answer &&) { result = failure; });
+    context.run_for(milliseconds(6500));
+    BOOST_CHECK(!result);
+    std::string received;
+    boost::asio::async_read(target, boost::asio::dynamic_buffer(received),
+                            [](boost::system::error_code, std::size_t) {});
+    context.run_for(milliseconds(500));
+    BOOST_CHECK_GT(received.size(), BODY_BYTES);
+    boost::asio::write(
+            target,
+            boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                                            "X-Clementinebeam-Request-Id: id-1\r\n\r\n")));
+    context.run_for(milliseconds(100));
+    BOOST_CHECK(result == exchange_failure::None);
+}
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE serverconnection
 #include "clementinebeam/asynchttp/serverlistener.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -33,8 +34,8 @@
         ++handled;
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(50));
         const auto body = answerBody.empty() ? call.body() : answerBody;
-        timer->async_wait([timer, connection, body](boost::system::error_code) {
-            connection->respond(makeOwnAnswer(200, body));
+        timer->async_wait([this, timer, connection, body](boost::system::error_code) {
+            connection->respond(makeOwnAnswer(200, body), boot_clock::now() + deliveryTime);
         });
     }
     const server_limits &limits() const override { return serverLimits; }
@@ -42,6 +43,7 @@
 
     std::shared_ptr<memory_account> account; ///< None by default.
     std::string answerBody;                  ///< Empty for the request's body.
+    milliseconds deliveryTime{0};            ///< How long callers may take for an answer at least.
     server_limits serverLimits;
     int handled = 0;
 
@@ -247,6 +249,53 @@
     BOOST_CHECK_EQUAL(bodyBytes(received()), LARGE_BODY_BYTES);
 }
 
+// Guards against ending the connection of a live caller that reads nothing for some seconds: the
+// system takes it for one that is gone if a limit is set for unacknowledged data.
+BOOST_FIXTURE_TEST_CASE(answer_reaches_a_caller_that_reads_nothing_for_some_seconds,
+                        listener_fixture)
+{
+    for (const auto bytes : {LARGE_BODY_BYTES, HUGE_BODY_BYTES}) {
+        handler.answerBody = std::string(bytes, 'b');
+        tcp::socket other(context);
+        other.connect(local());
+        boost::asio::write(other, boost::asio::buffer(REQUEST));
+        run(milliseconds(6500));
+        std::string text;
+        boost::asio::async_read(other, boost::asio::dynamic_buffer(text),
+                                [](boost::system::error_code, std::size_t) {});
+        run(milliseconds(700));
+        // The read goes on, so there may be unused bytes behind the answer.
+        BOOST_CHECK_EQUAL(std::count(text.begin(), text.end(), 'b'), bytes);
+    }
+}
+
+// Guards against an idle timeout below the time that a caller has for its answer.
+BOOST_FIXTURE_TEST_CASE(caller_may_pause_for_longer_than_the_idle_timeout, listener_fixture)
+{
+    handler.serverLimits.idleTimeout = milliseconds(200);
+    handler.deliveryTime = milliseconds(3000);
+    handler.answerBody = std::string(HUGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(milliseconds(1200));
+    BOOST_CHECK_EQUAL(bodyBytes(received()), HUGE_BODY_BYTES);
+}
+
+// As above, while the connection ends and the system holds the rest of the answer.
+BOOST_FIXTURE_TEST_CASE(caller_may_pause_for_longer_than_the_idle_timeout_after_a_stop,
+                        listener_fixture)
+{
+    handler.serverLimits.idleTimeout = milliseconds(200);
+    handler.deliveryTime = milliseconds(3000);
+    handler.answerBody = std::string(LARGE_BODY_BYTES, 'b');
+    send(REQUEST);
+    run(milliseconds(20));
+    stop();
+    run(milliseconds(1200));
+    send(REQUEST);
+    run(milliseconds(20));
+    BOOST_CHECK_EQUAL(bodyBytes(received()), LARGE_BODY_BYTES);
+}
+
 // An answer that is never read must not hold the connection, and a stop, for ever.
 BOOST_FIXTURE_TEST_CASE(connection_whose_last_answer_is_never_read_ends, listener_fixture)
 {
--- a/tests/unit/admissiontest.cpp
+++ b/tests/unit/admissiontest.cpp
@@ -152,6 +152,20 @@
     BOOST_CHECK(!connectionToClose({}, now));
 }
 
+// Load: callers on all connections ask for answers that they don't read.
+BOOST_AUTO_TEST_CASE(answer_that_is_not_read_for_longest_gives_way_if_nothing_else_does)
+{
+    const instant now(std::chrono::milliseconds(10000));
+    const std::vector<connection_summary> connections{
+            summary(connection_stage::Sending, 6001), summary(connection_stage::Sending, 5000),
+            summary(connection_stage::Sending, 3000), summary(connection_stage::Handling, 0)};
+    BOOST_CHECK(connectionToClose(connections, now) == std::size_t(2));
+    BOOST_CHECK(!connectionToClose({connections[0], connections[3]}, now));
+    auto withIdle = connections;
+    withIdle.push_back(summary(connection_stage::Idle, 9999));
+    BOOST_CHECK(connectionToClose(withIdle, now) == std::size_t(4));
+}
+
 BOOST_AUTO_TEST_CASE(descriptors_are_left_for_targets_peers_and_store)
 {
     for (const std::size_t descriptors : {64U, 256U, 1024U, 3075U, 10250U}) {
