--- a/include/clementinebeam/dispatch/crashhistory.h
+++ b/include/clementinebeam/dispatch/crashhistory.h
@@ -2,6 +2,7 @@
 
 #include "clementinebeam/dispatch/dispatchtypes.h"
 
+#include <compare>
 #include <map>
 #include <vector>
 
@@ -13,6 +14,17 @@
     instant at;
 };
 
+/// What the repeats of a request have in common.
+struct repeated_request {
+    service_name service;
+    std::uint64_t fingerprint = 0;
+
+    auto operator<=>(const repeated_request &) const = default;
+};
+
+/// Crashes by the fingerprint of the request, of one service; oldest first, none of them empty.
+using suspect_map = std::map<std::uint64_t, std::vector<target_crash>>;
+
 /// Finds the requests that crash the targets that run them.
 ///
 /// A frequent request is usually running when a target crashes for another reason. A request that
@@ -39,19 +51,34 @@
 
     /// Notes a crash, seen here or by another instance. Copies of a request that were lost in one
     /// crash count once.
-    /// @param request hash of the request and its service.
-    verdict noteCrash(std::uint64_t request, const target_crash &crash);
+    verdict noteCrash(const repeated_request &request, const target_crash &crash);
+
+    /// Takes over what was stored by an earlier run or another instance. The times of stored
+    /// crashes are not exact enough to tell two crashes of one target from one, so a stored crash
+    /// counts only if none of its target is known, or if the stored ones are more than the known
+    /// ones.
+    /// @param crashes the stored crashes, oldest first.
+    /// @param now the current time.
+    verdict restore(const repeated_request &request, const std::vector<target_crash> &crashes,
+                    instant now);
 
     /// Records that the request was answered, which shows that it does not crash its targets, and
     /// clears its crashes.
     /// @return whether there were any.
-    bool noteAnswer(std::uint64_t request);
+    bool noteAnswer(const repeated_request &request);
 
     /// @return whether the request must not be sent any more.
-    bool isQuarantined(std::uint64_t request, instant now) const;
+    bool isQuarantined(const repeated_request &request, instant now) const;
 
     /// @return the last crashes of a request, oldest first; at most CRASH_LIMIT.
-    std::vector<target_crash> crashesOf(std::uint64_t request) const;
+    std::vector<target_crash> crashesOf(const repeated_request &request) const;
+
+    /// @param service a service.
+    /// @param now the current time.
+    /// @param limit largest number of requests to return.
+    /// @return the requests of the service whose crashes still count: those that are quarantined
+    ///     first, then those with the newest crashes.
+    suspect_map suspectsOf(const service_name &service, instant now, std::size_t limit) const;
 
 private:
     /// Losses of the same target within this time count as one crash.
@@ -59,10 +86,10 @@
     static constexpr std::size_t MAX_RECORDS = 10000;
     static constexpr std::size_t ANSWERED_TABLE_SIZE = 1 << 15;
 
-    std::uint64_t &answeredEntry(std::uint64_t request);
+    bool wasAnswered(const repeated_request &request) const;
     void evictOldestIfFull();
 
-    std::map<std::uint64_t, std::vector<target_crash>> m_records; ///< None of them is empty.
+    std::map<repeated_request, std::vector<target_crash>> m_records; ///< None of them is empty.
     /// Hash table of answered requests; a collision overwrites.
     std::vector<std::uint64_t> m_answered;
 };
--- a/include/clementinebeam/gateway/iclusterstore.h
+++ b/include/clementinebeam/gateway/iclusterstore.h
@@ -10,7 +10,9 @@
 enum class store_stream {
     Configuration, ///< Routing configuration, written by operators; read only here.
     Targets,       ///< Entries that targets publish; read only here.
-    Coordination,  ///< Ownership records, one record key per service; written by coordinators.
+    /// Written by coordinators: ownership records, whose record key is the service, and crash
+    /// records, see crashRecordKey().
+    Coordination,
 };
 
 /// Why a call to the store failed.
@@ -33,6 +35,10 @@
     bool isRemoved = false; ///< The record key was deleted.
 };
 
+/// @param service a service.
+/// @return the record key of its crash record.
+std::string crashRecordKey(const service_name &service);
+
 /// The result of a read.
 struct store_batch {
     store_failure failure = store_failure::None;
--- a/src/gateway/internal/coordination.cpp
+++ b/src/gateway/internal/coordination.cpp
@@ -346,14 +346,19 @@
             .add("claim", isClaim ? 1 : 0)
             .add("end", m_appliedEnd)
             .add("error", nameOf(outcome.failure));
+    // The append may have been carried out all the same; the stream shows whether it was. Until
+    // then it is repeated at the same offset.
+    m_servicesToStore.insert(record.service);
+    retryAfterFailure(outcome);
+}
+
+void coordination::retryAfterFailure(const append_outcome &outcome)
+{
     if (outcome.failure == store_failure::Conflict) {
         m_reportedEnd = outcome.end;
         m_reportedAt = boot_clock::now();
         m_environment.onOwnershipReadNeeded();
     }
-    // The append may have been carried out all the same; the stream shows whether it was. Until
-    // then it is repeated at the same offset.
-    m_servicesToStore.insert(record.service);
     m_retryTimer.expires_after(APPEND_RETRY);
     m_retryTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -361,6 +366,47 @@
     });
 }
 
+void coordination::storeCrashRecords()
+{
+    // Ownership of keys comes first: targets serve nothing without it.
+    if (m_isAppending || !m_servicesToStore.empty() || !m_isAppliedEndKnown || !m_isStoreReachable
+        || isBehindStream())
+        return;
+    for (const auto &[name, service] : m_coordinated) {
+        if (const auto record = m_environment.takeCrashRecord(name)) {
+            storeCrashRecord(*record);
+            return;
+        }
+    }
+}
+
+void coordination::storeCrashRecord(const crash_record &record)
+{
+    const bool isRemoval = record.suspects.empty();
+    const store_record encoded{crashRecordKey(record.service),
+                               isRemoval ? std::string() : encodeBinary(record), isRemoval};
+    m_isAppending = true;
+    m_environment.store.appendAt(
+            store_stream::Coordination, m_appliedEnd, encoded,
+            [this, record](const append_outcome &outcome) {
+                m_isAppending = false;
+                m_environment.metrics.countStoreCall("append_crashes", nameOf(outcome.failure));
+                log_line(outcome.failure == store_failure::None ? log_level::Info
+                                                                : log_level::Warning,
+                         "crashes_stored")
+                        .add("service", record.service)
+                        .add("suspects", record.suspects.size())
+                        .add("error", nameOf(outcome.failure));
+                if (outcome.failure != store_failure::None) {
+                    retryAfterFailure(outcome);
+                    return;
+                }
+                m_appliedEnd = std::max(m_appliedEnd, outcome.end);
+                m_environment.onCrashRecordStored(record);
+                storeNextRecord();
+            });
+}
+
 void coordination::onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
                                instant requestedAt)
 {
--- a/src/gateway/internal/coordination.h
+++ b/src/gateway/internal/coordination.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/dispatch/crashrecord.h"
 #include "clementinebeam/gateway/iclusterstore.h"
 #include "clementinebeam/gateway/routetable.h"
 #include "internal/candidacy.h"
@@ -7,6 +8,7 @@
 #include "internal/takeoverpolicy.h"
 
 #include <deque>
+#include <optional>
 #include <set>
 
 namespace clementinebeam {
@@ -51,6 +53,10 @@
         std::function<std::chrono::milliseconds()> targetListAge;
         /// Called when the coordinator of a service should be asked whether it is alive.
         std::function<void(const service_name &)> onCoordinatorQueryNeeded;
+        /// @return the crash record of a service that has to be stored now, if there is one.
+        std::function<std::optional<crash_record>(const service_name &)> takeCrashRecord;
+        /// Called when a crash record has been stored.
+        std::function<void(const crash_record &)> onCrashRecordStored;
     };
 
     explicit coordination(environment env);
@@ -83,6 +89,10 @@
     /// instance. To be called regularly.
     void restartStalledServices();
 
+    /// Stores the crash record of a service that is coordinated here, if one has to be stored and
+    /// no ownership record is waiting. To be called regularly.
+    void storeCrashRecords();
+
     /// Records that the coordinator of a service did not answer or is disconnected from the store.
     void noteCoordinatorMissing(const service_name &service);
 
@@ -130,6 +140,8 @@
     void storeNextRecord();
     void onAppended(const ownership_record &record, bool isClaim, instant sentAt,
                     const append_outcome &outcome);
+    void storeCrashRecord(const crash_record &record);
+    void retryAfterFailure(const append_outcome &outcome);
     void applyRecord(const ownership_record &record, instant confirmedAt);
     void stopCoordinating(const service_name &service, const ownership_record &successor);
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -105,7 +105,11 @@
                },
                [this] { m_feeds.confirmOwnership(); }, [this] { m_feeds.pollTargetsOften(); },
                [this] { return m_feeds.age(store_stream::Targets, boot_clock::now()); },
-               [this](const service_name &service) { m_placement.queryCoordinator(service); }})
+               [this](const service_name &service) { m_placement.queryCoordinator(service); },
+               [this](const service_name &service) {
+                   return m_quarantine.takeRecordToStore(service);
+               },
+               [this](const crash_record &record) { m_quarantine.onStored(record); }})
     , m_feeds(context, store, format, m_targets, *this, m_metrics)
     , m_lag(context)
     , m_exchangeEnvironment{context,      format,    m_placement, m_pool,
@@ -203,6 +207,7 @@
     m_coordination.setStoreReachable(m_feeds.isStoreReachable());
     m_coordination.restartStalledServices();
     m_coordination.updateCandidacy();
+    m_coordination.storeCrashRecords();
     m_placement.refreshRelayedView();
     reportEvacuations(now);
     if (isReady() != m_wasReady) {
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -77,6 +77,7 @@
     void onTargetsChanged() override;
     void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
                      instant requestedAt) override;
+    void onCrashRecord(const crash_record &record) override { m_quarantine.onStored(record); }
     bool isCoordinating() const override { return m_coordination.isCoordinating(); }
     bool isRelayedViewFresh() const override { return m_placement.isRelayedViewFresh(); }
 
--- a/src/gateway/internal/requestquarantine.cpp
+++ b/src/gateway/internal/requestquarantine.cpp
@@ -18,8 +18,7 @@
 
 bool request_quarantine::isQuarantined(const service_name &service, std::uint64_t fingerprint) const
 {
-    return fingerprint != 0
-            && m_history.isQuarantined(hashOf(service, fingerprint), boot_clock::now());
+    return fingerprint != 0 && m_history.isQuarantined({service, fingerprint}, boot_clock::now());
 }
 
 void request_quarantine::noteLoss(const service_name &service, std::uint64_t fingerprint,
@@ -51,10 +50,10 @@
         noteCrash(request, {target, boot_clock::now()}, true);
 }
 
-void request_quarantine::noteCrash(const suspect &request, const target_crash &crash,
+void request_quarantine::noteCrash(const repeated_request &request, const target_crash &crash,
                                    bool isSeenHere)
 {
-    const auto verdict = m_history.noteCrash(hashOf(request.service, request.fingerprint), crash);
+    const auto verdict = m_history.noteCrash(request, crash);
     if (verdict == crash_history::verdict::Quarantined)
         logQuarantined(request, crash.target);
     // Instances that learn of a quarantine pass it on, so that it reaches all of a large fleet.
@@ -63,7 +62,8 @@
         m_sendNotice(noticeOf(request.service, request.fingerprint));
 }
 
-void request_quarantine::logQuarantined(const suspect &request, const target_id &target) const
+void request_quarantine::logQuarantined(const repeated_request &request,
+                                        const target_id &target) const
 {
     log_line(log_level::Warning, "request_quarantined")
             .add("service", request.service)
@@ -71,10 +71,32 @@
             .add("target", target);
 }
 
+void request_quarantine::onStored(const crash_record &record)
+{
+    const auto clocks = readClocks();
+    auto suspects = suspectsOf(record, clocks);
+    for (const auto &[fingerprint, crashes] : suspects) {
+        const repeated_request request{record.service, fingerprint};
+        if (m_history.restore(request, crashes, clocks.now) == crash_history::verdict::Quarantined)
+            logQuarantined(request, crashes.back().target);
+    }
+    m_archive.noteStored(record.service, std::move(suspects));
+}
+
+std::optional<crash_record> request_quarantine::takeRecordToStore(const service_name &service)
+{
+    const auto clocks = readClocks();
+    const auto suspects = m_history.suspectsOf(service, clocks.now, crash_archive::MAX_SUSPECTS);
+    if (!m_archive.isWriteDue(service, suspects, clocks.now))
+        return std::nullopt;
+    m_archive.noteWrite(service, clocks.now);
+    return recordOf(service, suspects, clocks);
+}
+
 void request_quarantine::noteAnswer(const service_name &service, std::uint64_t fingerprint)
 {
     // An empty notice clears the crashes that other instances know of.
-    if (m_history.noteAnswer(hashOf(service, fingerprint)))
+    if (m_history.noteAnswer({service, fingerprint}))
         m_sendNotice(noticeOf(service, fingerprint));
 }
 
@@ -83,7 +105,7 @@
 {
     const auto now = boot_clock::now();
     crash_notice_message notice{service, fingerprint, {}};
-    for (const auto &crash : m_history.crashesOf(hashOf(service, fingerprint))) {
+    for (const auto &crash : m_history.crashesOf({service, fingerprint})) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
         notice.crashes.push_back({crash.target, age.count()});
     }
@@ -93,7 +115,7 @@
 bool request_quarantine::onNotice(const crash_notice_message &notice)
 {
     if (notice.crashes.empty()) {
-        m_history.noteAnswer(hashOf(notice.service, notice.fingerprint));
+        m_history.noteAnswer({notice.service, notice.fingerprint});
         return false;
     }
     const auto now = boot_clock::now();
--- a/src/gateway/internal/requestquarantine.h
+++ b/src/gateway/internal/requestquarantine.h
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "clementinebeam/dispatch/crashhistory.h"
+#include "clementinebeam/dispatch/crasharchive.h"
+#include "clementinebeam/dispatch/crashrecord.h"
 #include "clementinebeam/gateway/gatewaytypes.h"
 #include "internal/placementmessages.h"
 #include "internal/targetconnectionpool.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace clementinebeam {
@@ -16,7 +18,8 @@
 ///
 /// A repeat of such a request may reach any instance. Connections are also lost in other ways: by a
 /// reset, a network partition, or a target that drops an answer. Only if the target then refuses a
-/// new connection has its process ended.
+/// new connection has its process ended. What is known is stored as well, as all instances may have
+/// started again when the request comes again.
 class request_quarantine
 {
 public:
@@ -49,24 +52,27 @@
     /// @return whether the request is quarantined and the other instance does not know that.
     bool onNotice(const crash_notice_message &notice);
 
+    /// Takes over what the store holds for a service.
+    void onStored(const crash_record &record);
+
+    /// Called by the coordinator of a service, which alone stores its record.
+    /// @return the record that has to be stored now, if there is one.
+    std::optional<crash_record> takeRecordToStore(const service_name &service);
+
     /// @return what is known of a request, for another instance.
     crash_notice_message noticeOf(const service_name &service, std::uint64_t fingerprint) const;
 
 private:
-    struct suspect {
-        service_name service;
-        std::uint64_t fingerprint = 0;
-    };
-
     void onProbed(const target_id &target, bool hasCrashed);
-    void noteCrash(const suspect &request, const target_crash &crash, bool isSeenHere);
-    void logQuarantined(const suspect &request, const target_id &target) const;
+    void noteCrash(const repeated_request &request, const target_crash &crash, bool isSeenHere);
+    void logQuarantined(const repeated_request &request, const target_id &target) const;
 
     target_connection_pool &m_pool;
     notice_sender m_sendNotice;
     crash_history m_history;
+    crash_archive m_archive;
     /// By target that is being probed: the requests whose connections to it were lost.
-    std::map<target_id, std::vector<suspect>> m_probes;
+    std::map<target_id, std::vector<repeated_request>> m_probes;
 };
 
 } // namespace clementinebeam
--- a/src/gateway/internal/storefeeds.cpp
+++ b/src/gateway/internal/storefeeds.cpp
@@ -57,9 +57,31 @@
 constexpr milliseconds MIN_REFRESH_INTERVAL{400};
 /// Failed reads in a row after which the store counts as unreachable.
 constexpr std::uint32_t UNREACHABLE_FAILURES = 2;
+/// A service whose name begins so can have an ownership record under the key of a crash record, so
+/// the content decides of which kind a record is.
+constexpr std::string_view CRASH_RECORD_PREFIX = "crashes/";
+
+/// @return the crash record, or nothing if the record is of another kind or can't be read.
+std::optional<crash_record> readCrashRecord(const store_record &record)
+{
+    if (!record.key.starts_with(CRASH_RECORD_PREFIX))
+        return std::nullopt;
+    const auto service = record.key.substr(CRASH_RECORD_PREFIX.size());
+    if (record.isRemoved)
+        return crash_record{service, {}};
+    auto decoded = decodeBinary<crash_record>(record.value);
+    if (!decoded || decoded.value().service != service || !isConsistent(decoded.value()))
+        return std::nullopt;
+    return std::move(decoded.value());
+}
 
 } // namespace
 
+std::string crashRecordKey(const service_name &service)
+{
+    return std::string(CRASH_RECORD_PREFIX) + service;
+}
+
 const char *nameOf(store_stream stream)
 {
     switch (stream) {
@@ -447,6 +469,10 @@
 {
     std::vector<ownership_record> records;
     for (const auto &record : batch.records) {
+        if (const auto crashes = readCrashRecord(record)) {
+            m_listener.onCrashRecord(*crashes);
+            continue;
+        }
         auto decoded = decodeBinary<ownership_record>(record.value);
         if (decoded && decoded.value().service == record.key && isConsistent(decoded.value()))
             records.push_back(std::move(decoded.value()));
--- a/src/gateway/internal/storefeeds.h
+++ b/src/gateway/internal/storefeeds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/dispatch/crashrecord.h"
 #include "clementinebeam/evacuation/evacuationview.h"
 #include "clementinebeam/gateway/iclusterstore.h"
 #include "clementinebeam/gateway/imessageformat.h"
@@ -40,6 +41,10 @@
     virtual void onOwnership(const std::vector<ownership_record> &records, std::uint64_t end,
                              instant requestedAt) = 0;
 
+    /// Called with each crash record that was read from the ownership stream.
+    /// @param record the record; without suspects if it was removed.
+    virtual void onCrashRecord(const crash_record &record) = 0;
+
     /// @return whether this instance coordinates a service, so that it needs changes quickly.
     virtual bool isCoordinating() const = 0;
 
--- a/src/routing/internal/quarantine.cpp
+++ b/src/routing/internal/quarantine.cpp
@@ -8,13 +8,13 @@
 bool quarantine::isQuarantined(const service_name &service, std::uint64_t fingerprint) const
 {
     const ordered_lock lock(m_mutex);
-    return m_history.isQuarantined(hashOf(service, fingerprint), boot_clock::now());
+    return m_history.isQuarantined({service, fingerprint}, boot_clock::now());
 }
 
 void quarantine::noteAnswer(const service_name &service, std::uint64_t fingerprint)
 {
     const ordered_lock lock(m_mutex);
-    m_history.noteAnswer(hashOf(service, fingerprint));
+    m_history.noteAnswer({service, fingerprint});
 }
 
 bool quarantine::noteCrash(const service_name &service, std::uint64_t fingerprint,
@@ -23,7 +23,7 @@
     auto verdict = crash_history::verdict::Unsuspected;
     {
         const ordered_lock lock(m_mutex);
-        verdict = m_history.noteCrash(hashOf(service, fingerprint), {target, boot_clock::now()});
+        verdict = m_history.noteCrash({service, fingerprint}, {target, boot_clock::now()});
     }
     if (verdict == crash_history::verdict::Quarantined)
         log_line(log_level::Warning, "request_quarantined")
--- a/tests/platform/coordinationstoretest.cpp
+++ b/tests/platform/coordinationstoretest.cpp
@@ -26,7 +26,10 @@
     void appendAt(store_stream, std::uint64_t end, const store_record &record,
                   append_handler done) override
     {
-        appends.push_back({end, decodeBinary<ownership_record>(record.value).value()});
+        if (record.key.starts_with("crashes/"))
+            crashAppends.push_back(end);
+        else
+            appends.push_back({end, decodeBinary<ownership_record>(record.value).value()});
         if (end != streamEnd) {
             done({store_failure::Conflict, streamEnd});
             return;
@@ -45,6 +48,7 @@
     std::uint32_t coordinatorParts() const override { return 1; }
 
     std::vector<append> appends;
+    std::vector<std::uint64_t> crashAppends;     ///< Ends at which crash records were appended.
     store_failure failure = store_failure::None; ///< Result of appends that are carried out.
     std::uint64_t streamEnd = 0;
 };
@@ -66,7 +70,9 @@
                            [] {},
                            [] {},
                            [] { return milliseconds(0); },
-                           [](const service_name &) {}})
+                           [](const service_name &) {},
+                           [this](const service_name &) { return std::exchange(crashes, {}); },
+                           [this](const crash_record &record) { stored.push_back(record); }})
     {
         listTarget(1);
         ownCoordination.setServices({{SERVICE, "/healthz", 0, true}});
@@ -99,6 +105,8 @@
     target_directory targets;
     gateway_metrics metrics;
     bool hasListedTarget = false;
+    std::optional<crash_record> crashes; ///< To be stored.
+    std::vector<crash_record> stored;
     coordination ownCoordination;
 };
 
@@ -150,3 +158,31 @@
     BOOST_REQUIRE_GE(store.appends.size(), 2U);
     BOOST_CHECK_EQUAL(store.appends[1].end, reportedEnd);
 }
+
+// Guards against a coordinator that stores what it knows after its successor's claim, and against
+// ownership records that are held up by crash records.
+BOOST_FIXTURE_TEST_CASE(crash_record_is_stored_at_the_applied_end_only, coordinating_instance)
+{
+    const crash_record record{SERVICE, {{7, {{"t", 1000}}}}};
+    crashes = record;
+    ownCoordination.storeCrashRecords();
+    BOOST_REQUIRE_EQUAL(store.crashAppends.size(), 1U);
+    BOOST_CHECK_EQUAL(store.crashAppends[0], store.streamEnd - 1);
+    BOOST_REQUIRE_EQUAL(stored.size(), 1U);
+    // Another instance appends, which this one has not read yet.
+    ++store.streamEnd;
+    crashes = record;
+    ownCoordination.storeCrashRecords();
+    BOOST_CHECK_EQUAL(store.crashAppends.size(), 2U);
+    BOOST_CHECK_EQUAL(stored.size(), 1U);
+    crashes = record;
+    ownCoordination.storeCrashRecords();
+    BOOST_CHECK_EQUAL(store.crashAppends.size(), 2U);
+    ownCoordination.onOwnership({}, store.streamEnd, boot_clock::now());
+    ownCoordination.storeCrashRecords();
+    BOOST_CHECK_EQUAL(store.crashAppends.size(), 3U);
+    BOOST_CHECK_EQUAL(stored.size(), 2U);
+    store.appends.clear();
+    listTarget(2);
+    BOOST_CHECK_EQUAL(store.appends.size(), 1U);
+}
--- a/tests/platform/crashingrequesttest.cpp
+++ b/tests/platform/crashingrequesttest.cpp
@@ -106,6 +106,125 @@
     BOOST_CHECK_EQUAL(crashes, CRASH_LIMIT);
 }
 
+namespace {
+
+/// Store and targets whose instances end and start again; each runs on an event loop of its own.
+class restart_fixture
+{
+public:
+    restart_fixture()
+        : store(context)
+        , target(context, "t1")
+    {
+        BOOST_REQUIRE(!store.listen(local(STORE_PORT)));
+        BOOST_REQUIRE(!target.listen(local(TARGET_PORT)));
+        store.put("keyed.op", "config", configurationText(1, "plain"));
+        store.put("keyed.servers", "t1", entryText(TARGET_PORT, "plain", "ready"));
+        target.setBehaviour([this](const http_call &, const std::shared_ptr<server_connection> &) {
+            ++crashes;
+            target.crash();
+            const auto timer = std::make_shared<boost::asio::steady_timer>(context, RESTART_TIME);
+            timer->async_wait([this, timer](boost::system::error_code) {
+                BOOST_CHECK(!target.listen(local(TARGET_PORT)));
+            });
+        });
+        start();
+    }
+
+    void start()
+    {
+        m_instance = std::make_unique<instance>();
+        BOOST_REQUIRE(!m_instance->ownGateway.start());
+        runUntil([this] { return m_instance->ownGateway.isCoordinating(); });
+    }
+
+    /// Kills the only instance and starts another one.
+    void restart()
+    {
+        m_instance.reset();
+        start();
+    }
+
+    /// @return the status that a request gets which crashes its target.
+    unsigned sendBoom()
+    {
+        const auto connection = std::make_shared<client_connection>(context, local(GATEWAY_PORT),
+                                                                    milliseconds(500));
+        unsigned status = 0;
+        connection->exchange(
+                gateway_fixture::request(http::verb::post, "/write/boom",
+                                         "boom-" + std::to_string(++m_sent)),
+                {}, [&](exchange_failure, http_answer &&answer) { status = answer.result_int(); });
+        runUntil([&] { return status != 0; });
+        run(REPEAT_INTERVAL);
+        return status;
+    }
+
+    void run(milliseconds time)
+    {
+        const auto end = boot_clock::now() + time;
+        while (boot_clock::now() < end)
+            runOnce();
+    }
+
+    boost::asio::io_context context{1};
+    store_standin store;
+    target_standin target;
+    std::size_t crashes = 0;
+
+private:
+    struct instance {
+        boost::asio::io_context context{1};
+        store_client client{context, local(STORE_PORT), 8};
+        platform_codec codec;
+        gateway ownGateway{context, settingsOf(), client, codec};
+    };
+
+    void runOnce()
+    {
+        context.run_for(milliseconds(1));
+        m_instance->context.poll();
+    }
+
+    template <class condition_type>
+    void runUntil(const condition_type &condition)
+    {
+        const auto end = boot_clock::now() + std::chrono::seconds(6);
+        while (!condition() && boot_clock::now() < end)
+            runOnce();
+        BOOST_REQUIRE(condition());
+    }
+
+    std::unique_ptr<instance> m_instance;
+    int m_sent = 0;
+};
+
+} // namespace
+
+// Guards against forgetting, with the last instance that knew them, which requests crash targets.
+BOOST_FIXTURE_TEST_CASE(request_that_crashed_two_targets_is_refused_after_all_instances_restarted,
+                        restart_fixture)
+{
+    for (int repeat = 0; repeat < 2; ++repeat)
+        BOOST_CHECK_EQUAL(sendBoom(), 502U);
+    for (int restarts = 0; restarts < 2; ++restarts) {
+        restart();
+        BOOST_CHECK_EQUAL(sendBoom(), 503U);
+    }
+    BOOST_CHECK_EQUAL(crashes, CRASH_LIMIT);
+}
+
+// As above, with one crash between two restarts.
+BOOST_FIXTURE_TEST_CASE(crashes_before_and_after_a_restart_add_up, restart_fixture)
+{
+    BOOST_CHECK_EQUAL(sendBoom(), 502U);
+    restart();
+    BOOST_CHECK_EQUAL(sendBoom(), 502U);
+    restart();
+    BOOST_CHECK_EQUAL(sendBoom(), 503U);
+    BOOST_CHECK_EQUAL(crashes, CRASH_LIMIT);
+}
+
 // Lost answers and reset connections of live targets are common, and say nothing about the request.
 BOOST_FIXTURE_TEST_CASE(request_whose_connections_are_reset_by_live_targets_is_still_sent,
                         crashing_request_fixture)
--- a/tests/platform/storefeedstest.cpp
+++ b/tests/platform/storefeedstest.cpp
@@ -96,12 +96,14 @@
     {
         ownershipConfirmedAt = at;
     }
+    void onCrashRecord(const crash_record &record) override { crashRecords.push_back(record); }
     bool isCoordinating() const override { return isCoordinator; }
     bool isRelayedViewFresh() const override { return hasRelayedView; }
 
     std::uint64_t version = 0;
     instant ownershipConfirmedAt{};
     evacuation_view evacuations;
+    std::vector<crash_record> crashRecords;
     bool isCoordinator = false;
     bool hasRelayedView = false;
 };
