--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -87,8 +87,8 @@
 
     /// Closes the connection after the current request, or at once if there is none. Received bytes
     /// that were not read yet count as a request. A connection without any request so far stays
-    /// open for a short time, because its first request may be in transit. In all cases, answers
-    /// that were given are delivered first.
+    /// open for a short time, because its first request may be in transit. In all cases, the
+    /// caller can read the answers that were given first.
     void finish();
 
     /// Closes the connection at once and calls the handler of setDisconnectHandler(), if there is
@@ -96,7 +96,7 @@
     void close();
 
     /// @return whether a request is being read, handled or answered, or finish() waits for one, or
-    ///     the last answer may not have reached the caller yet.
+    ///     the caller may not have read the last answer yet.
     bool isBusy() const
     {
         const bool hasPartialRequest = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
@@ -128,8 +128,8 @@
     void continueWrite();
     void onAnswerSent();
     instant deliveryEnd() const;
-    bool isDelivered();
-    void closeWhenDelivered();
+    bool hasCallerRead();
+    void closeWhenRead();
     void startDraining();
     void awaitDelivery();
     std::size_t neededBytes(std::size_t arriving) const;
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -21,8 +21,9 @@
 constexpr std::size_t MAX_PIPELINED_BYTES = 65536;
 /// How long finish() keeps a connection open whose request may be in transit or is not read yet.
 constexpr std::chrono::milliseconds LAST_REQUEST_TIMEOUT{400};
-/// How long, and for how many bytes, a connection is read on after its last answer was delivered.
-/// Its caller may still be sending, and a close with unread bytes discards what was not read yet.
+/// How long at least, and for how many bytes, a connection is read on after its last answer was
+/// acknowledged. Its caller may still be sending, and bytes that meet a closed connection make the
+/// caller's system discard what the caller has not read yet.
 constexpr std::chrono::milliseconds DRAIN_TIME{1000};
 constexpr std::size_t MAX_DRAINED_BYTES = 1UL << 20U;
 /// Interval at which the delivery of the last answer is checked.
@@ -119,7 +120,7 @@
         if (error || self->m_isHandling || self->m_isDraining || self->m_isClosed)
             return;
         if (!self->m_isWriting) {
-            self->closeWhenDelivered();
+            self->closeWhenRead();
             return;
         }
         self->m_handler.onClosedForLimit("answer_unread");
@@ -154,7 +155,7 @@
     const bool isReceiving = !m_isHandling && !m_isWriting;
     if (m_isRefused || m_isIgnoringAhead || m_isDraining) {
         m_drainedBytes += size;
-        if (m_drainedBytes > MAX_DRAINED_BYTES && m_isDraining && isDelivered())
+        if (m_drainedBytes > MAX_DRAINED_BYTES && m_isDraining && hasCallerRead())
             close();
         return;
     }
@@ -299,7 +300,10 @@
         return;
     }
     m_handler.onClosedForLimit(m_isWriting ? "answer_unread" : "memory");
-    closeFor("memory");
+    if (m_isWriting)
+        closeFor("memory");
+    else
+        closeWhenRead();
 }
 
 bool server_connection::mayGiveUp() const
@@ -323,7 +327,8 @@
     m_messageBytes = m_answer.body().capacity();
     if (!hold(neededBytes(0)) && m_messageBytes > MAX_PIPELINED_BYTES) {
         m_handler.onClosedForLimit("answer_memory");
-        closeFor("memory");
+        m_isWriting = false;
+        closeWhenRead();
         return;
     }
     m_serializer.emplace(m_answer);
@@ -378,16 +383,18 @@
         finish();
 }
 
-bool server_connection::isDelivered()
+/// @return whether the caller has read all answers, as far as that is known: what it has
+///     acknowledged may wait in its receive buffer for as long as it has time for the request.
+bool server_connection::hasCallerRead()
 {
-    return undeliveredBytes(m_socket).value_or(0) == 0;
+    return undeliveredBytes(m_socket).value_or(0) == 0 && boot_clock::now() >= m_deliverBy;
 }
 
-/// Closes an idle connection. The system may still hold a part of the last answer, which it would
-/// discard if the caller sent anything after the close.
-void server_connection::closeWhenDelivered()
+/// Closes an idle connection. What the caller has not read yet of its last answer would be
+/// discarded if it sent anything after the close.
+void server_connection::closeWhenRead()
 {
-    if (isDelivered())
+    if (hasCallerRead())
         close();
     else
         startDraining();
@@ -416,7 +423,8 @@
     if (undelivered != m_undelivered)
         m_lastProgress = now;
     m_undelivered = undelivered;
-    const auto end = undelivered > 0 ? deliveryEnd() : m_lastProgress + DRAIN_TIME;
+    const auto end =
+            undelivered > 0 ? deliveryEnd() : std::max(m_lastProgress + DRAIN_TIME, m_deliverBy);
     if (now >= end) {
         if (undelivered > 0)
             m_handler.onClosedForLimit("answer_unread");
@@ -437,7 +445,7 @@
         return;
     boost::system::error_code error;
     if (!m_isUnused && m_socket.available(error) == 0) {
-        closeWhenDelivered();
+        closeWhenRead();
         return;
     }
     m_isAwaitingRequest = true;
--- a/tests/platform/serverconnectiontest.cpp
+++ b/tests/platform/serverconnectiontest.cpp
@@ -266,6 +266,9 @@
         run(milliseconds(700));
         // The read goes on, so there may be unused bytes behind the answer.
         BOOST_CHECK_EQUAL(std::count(text.begin(), text.end(), 'b'), bytes);
+        // The read, which goes on, must end before its buffer does.
+        other.close();
+        run(milliseconds(10));
     }
 }
 
@@ -296,6 +299,25 @@
     BOOST_CHECK_EQUAL(bodyBytes(received()), LARGE_BODY_BYTES);
 }
 
+// Guards against taking what the caller's system has acknowledged for what the caller has read.
+BOOST_AUTO_TEST_CASE(acknowledged_answer_reaches_a_caller_that_pauses_and_sends_on)
+{
+    constexpr std::size_t ACKNOWLEDGED_BYTES = 30000;
+    for (const bool isAnsweredBefore : {true, false}) {
+        listener_fixture fixture;
+        fixture.handler.deliveryTime = milliseconds(3000);
+        fixture.handler.answerBody = std::string(ACKNOWLEDGED_BYTES, 'b');
+        fixture.send(REQUEST);
+        fixture.run(isAnsweredBefore ? ANSWER_TIME : milliseconds(20));
+        fixture.stop();
+        fixture.run(milliseconds(1500));
+        fixture.send(REQUEST);
+        fixture.run(milliseconds(20));
+        BOOST_CHECK(fixture.listener.isBusy());
+        BOOST_CHECK_EQUAL(bodyBytes(fixture.received()), ACKNOWLEDGED_BYTES);
+    }
+}
+
 // An answer that is never read must not hold the connection, and a stop, for ever.
 BOOST_FIXTURE_TEST_CASE(connection_whose_last_answer_is_never_read_ends, listener_fixture)
 {
