--- a/tests/platform/placementclienttest.cpp
+++ b/tests/platform/placementclienttest.cpp
@@ -102,7 +102,11 @@
                    [] {},
                    [] {},
                    [] { return milliseconds(0); },
-                   [](const service_name &) {}})
+                   [](const service_name &) {},
+                   [this](const service_name &service) {
+                       return quarantine.takeRecordToStore(service);
+                   },
+                   [this](const crash_record &record) { quarantine.onStored(record); }})
     {
         client.setCoordination(&ownCoordination);
         client.setStalenessHandler([](store_stream) {});
