--- a/include/clementinebeam/http/httpserver.h
+++ b/include/clementinebeam/http/httpserver.h
@@ -7,7 +7,9 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <semaphore>
+#include <set>
 #include <string>
 
 struct mg_context;
@@ -33,6 +35,8 @@
     /// For a whole body. While most threads read bodies, a slow one ends earlier.
     std::chrono::milliseconds bodyTimeout{10000};
     std::chrono::milliseconds keepAliveTimeout{30000};
+    /// How long a stop waits for callers to read their last responses.
+    std::chrono::milliseconds stopTimeout{2000};
     std::string certificateFile; ///< PEM file; empty for plain HTTP.
 };
 
@@ -52,12 +56,15 @@
     /// @return address_in_use if the listener cannot be started, Internal if TLS is not available.
     std::error_code start();
 
-    /// Waits for requests in flight, then closes all connections.
+    /// Waits for requests in flight, and for a while until callers have read their responses, then
+    /// closes all connections.
     void stop();
 
 private:
     static int handleRequest(mg_connection *connection, void *self);
+    static void onConnectionClosed(const mg_connection *connection);
     int handle(mg_connection *connection);
+    bool isEnded(const mg_connection *connection) const;
     http_response respond(mg_connection *connection);
     int readBody(mg_connection *connection, std::string &body);
     bool isTooSlow(std::size_t received, std::chrono::milliseconds age) const;
@@ -67,6 +74,10 @@
     std::counting_semaphore<> m_handlerSlots;
     std::atomic<std::size_t> m_readers{0};   ///< Threads that read a body.
     std::atomic<std::size_t> m_bodyBytes{0}; ///< Of all bodies that are received or handled.
+    std::atomic<std::size_t> m_writers{0};   ///< Threads that write a response.
+    mutable std::mutex m_endedMutex;
+    /// Connections whose last response was written and that their callers have not closed yet.
+    std::set<const mg_connection *> m_ended;
     mg_context *m_context = nullptr;
 };
 
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -6,12 +6,15 @@
 #include <array>
 #include <civetweb.h>
 #include <csignal>
+#include <thread>
 
 namespace clementinebeam {
 
 namespace {
 
 constexpr std::size_t READ_BYTES = 16384;
+constexpr std::chrono::milliseconds STOP_POLL_INTERVAL{5};
+constexpr int HTTP_OK = 200;
 constexpr int HTTP_BAD_REQUEST = 400;
 constexpr int HTTP_REQUEST_TIMEOUT = 408;
 constexpr int HTTP_TOO_LARGE = 413;
@@ -101,6 +104,7 @@
     }
     options.push_back(nullptr);
     mg_callbacks callbacks{};
+    callbacks.connection_closed = &http_server::onConnectionClosed;
     m_context = mg_start(&callbacks, this, options.data());
     if (!m_context)
         return std::make_error_code(std::errc::address_in_use);
@@ -110,11 +114,34 @@
 
 void http_server::stop()
 {
-    if (m_context)
-        mg_stop(m_context);
+    if (!m_context)
+        return;
+    // The library cuts off responses that are being written when it stops, and resets connections
+    // on which callers send on while they read.
+    const auto hasCallers = [this] {
+        const std::lock_guard lock(m_endedMutex);
+        return m_writers > 0 || !m_ended.empty();
+    };
+    const auto limit = boot_clock::now() + m_settings.stopTimeout;
+    while (hasCallers() && boot_clock::now() < limit)
+        std::this_thread::sleep_for(STOP_POLL_INTERVAL);
+    mg_stop(m_context);
     m_context = nullptr;
 }
 
+void http_server::onConnectionClosed(const mg_connection *connection)
+{
+    auto *self = static_cast<http_server *>(mg_get_user_data(mg_get_context(connection)));
+    const std::lock_guard lock(self->m_endedMutex);
+    self->m_ended.erase(connection);
+}
+
+bool http_server::isEnded(const mg_connection *connection) const
+{
+    const std::lock_guard lock(m_endedMutex);
+    return m_ended.contains(connection);
+}
+
 int http_server::handleRequest(mg_connection *connection, void *self)
 {
     return static_cast<http_server *>(self)->handle(connection);
@@ -122,6 +149,9 @@
 
 int http_server::handle(mg_connection *connection)
 {
+    // What is sent behind the last response of a connection counts as not read.
+    if (isEnded(connection))
+        return HTTP_OK;
     const auto response = respond(connection);
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + ' ';
     text += statusText(connection, response.status);
@@ -130,7 +160,15 @@
         text += header.name + ": " + header.value + "\r\n";
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
     text += response.body;
-    mg_write(connection, text.data(), text.size());
+    {
+        ++m_writers;
+        const scope_exit done([this] { --m_writers; });
+        mg_write(connection, text.data(), text.size());
+    }
+    if (response.headers.find("Connection") == "close") {
+        const std::lock_guard lock(m_endedMutex);
+        m_ended.insert(connection);
+    }
     return response.status;
 }
 
