--- a/include/clementinebeam/dispatch/crashhistory.h
+++ b/include/clementinebeam/dispatch/crashhistory.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace clementinebeam {
@@ -73,6 +74,9 @@
     /// @return the last crashes of a request, oldest first; at most CRASH_LIMIT.
     std::vector<target_crash> crashesOf(const repeated_request &request) const;
 
+    /// @return the services with requests that have crashed targets.
+    std::set<service_name> services() const;
+
     /// @param service a service.
     /// @param now the current time.
     /// @param limit largest number of requests to return.
--- a/include/clementinebeam/peering/peermessages.h
+++ b/include/clementinebeam/peering/peermessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clementinebeam/coordination/coordinationtypes.h"
+#include "clementinebeam/dispatch/crashrecord.h"
 #include "clementinebeam/ledger/ledgertypes.h"
 
 #include <variant>
@@ -21,6 +22,24 @@
     }
 };
 
+/// Asks another instance which requests have crashed targets, as far as it knows.
+struct crash_history_request {
+    template <class archive_type>
+    void serialize(archive_type & /*archive*/)
+    { }
+};
+
+/// Answer to a crash_history_request.
+struct crash_history_reply {
+    std::vector<crash_record> records; ///< One for each service.
+
+    template <class archive_type>
+    void serialize(archive_type &archive)
+    {
+        archive(records);
+    }
+};
+
 /// Load of one slot.
 struct slot_load {
     slot_index slot = 0;
@@ -84,9 +103,10 @@
     }
 };
 
-using peer_message = std::variant<coordination_message, crash_report, load_report, stream_notice,
-                                  state_request, state_reply, admit_request, admit_reply,
-                                  outcome_report, outcome_reply, ledger_copy, ledger_copy_reply>;
+using peer_message =
+        std::variant<coordination_message, crash_report, load_report, stream_notice, state_request,
+                     state_reply, admit_request, admit_reply, outcome_report, outcome_reply,
+                     ledger_copy, ledger_copy_reply, crash_history_request, crash_history_reply>;
 
 /// A message with its sender.
 struct peer_envelope {
--- a/include/clementinebeam/routing/iquarantine.h
+++ b/include/clementinebeam/routing/iquarantine.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "clementinebeam/dispatch/crashrecord.h"
 #include "clementinebeam/kernel/identifiers.h"
 
+#include <vector>
+
 namespace clementinebeam {
 
 /// Tracks requests that crash their targets, so that they are not sent again. Thread-safe.
@@ -28,6 +31,12 @@
     /// @param service the service.
     /// @param fingerprint hash of the request's kind, key and body.
     virtual void noteAnswer(const service_name &service, std::uint64_t fingerprint) = 0;
+
+    /// @return what is known, for another instance; one record for each service.
+    virtual std::vector<crash_record> records() const = 0;
+
+    /// Takes over what another instance knows; records that are not consistent are ignored.
+    virtual void restore(const std::vector<crash_record> &records) = 0;
 };
 
 } // namespace clementinebeam
--- a/src/controlplane/internal/controlplane.cpp
+++ b/src/controlplane/internal/controlplane.cpp
@@ -12,6 +12,7 @@
 constexpr std::chrono::milliseconds TICK_INTERVAL{20};
 constexpr std::chrono::milliseconds LISTING_TIMEOUT{500};
 constexpr std::chrono::milliseconds STATE_REQUEST_TIMEOUT{1000};
+constexpr std::chrono::milliseconds CRASH_HISTORY_TIMEOUT{300};
 constexpr std::chrono::milliseconds LOAD_REPORT_INTERVAL{1000};
 constexpr std::chrono::milliseconds EXPIRY_INTERVAL{500};
 constexpr std::chrono::milliseconds PATCH_RETRY_INTERVAL{700};
@@ -184,6 +185,29 @@
         m_listings = std::move(fetched.value());
     }
     updateShards();
+    if (!m_hasCrashHistory)
+        askPeersForCrashes();
+}
+
+/// Learns from the first instance that answers which requests have crashed targets. Otherwise, a
+/// restart of all instances in turn would make all of them forget.
+void control_plane::askPeersForCrashes()
+{
+    for (const auto &entry : listings()) {
+        if (entry.role != listed_role::Instance || entry.id == m_self.instance)
+            continue;
+        const auto reply =
+                m_services.peers->call(entry.id, crash_history_request{}, CRASH_HISTORY_TIMEOUT);
+        const auto *history = reply ? std::get_if<crash_history_reply>(&reply.value()) : nullptr;
+        if (!history)
+            continue;
+        m_services.quarantine->restore(history->records);
+        m_hasCrashHistory = true;
+        log_line(log_level::Info, "crash_history_received")
+                .add("from", entry.id)
+                .add("services", history->records.size());
+        return;
+    }
 }
 
 std::vector<listing> control_plane::listings() const
@@ -386,6 +410,9 @@
                        [&](const admit_request &body) { m_admissions->admit(from, body, respond); },
                        [&](const outcome_report &body) { m_admissions->complete(body, respond); },
                        [&](const ledger_copy &body) { m_admissions->store(from, body, respond); },
+                       [&](const crash_history_request &) {
+                           respond(crash_history_reply{m_services.quarantine->records()});
+                       },
                        [&](const state_request &body) {
                            respond(body.withState ? fullState() : position());
                        },
--- a/src/controlplane/internal/controlplane.h
+++ b/src/controlplane/internal/controlplane.h
@@ -63,6 +63,7 @@
     void tickLoop();
     void readOnce();
     void askPeersForState();
+    void askPeersForCrashes();
     void fetchListings();
     void updateShards();
     void publishView();
@@ -98,6 +99,7 @@
     bool m_wakeReaderRequested = false;
 
     std::atomic<bool> m_ready{false};
+    bool m_hasCrashHistory = false; ///< Another instance has told it; only for the listing thread.
     std::atomic<bool> m_stopping{false};
     std::thread m_readThread;
     std::thread m_listingThread;
--- a/src/dispatch/internal/crashhistory.cpp
+++ b/src/dispatch/internal/crashhistory.cpp
@@ -105,6 +105,14 @@
     return found == m_records.end() ? std::vector<target_crash>{} : found->second;
 }
 
+std::set<service_name> crash_history::services() const
+{
+    std::set<service_name> found;
+    for (const auto &[request, crashes] : m_records)
+        found.insert(request.service);
+    return found;
+}
+
 suspect_map crash_history::suspectsOf(const service_name &service, instant now,
                                       std::size_t limit) const
 {
--- a/src/routing/internal/quarantine.cpp
+++ b/src/routing/internal/quarantine.cpp
@@ -32,4 +32,30 @@
     return verdict != crash_history::verdict::Unsuspected;
 }
 
+std::vector<crash_record> quarantine::records() const
+{
+    const auto clocks = readClocks();
+    std::vector<crash_record> records;
+    const ordered_lock lock(m_mutex);
+    for (const auto &service : m_history.services()) {
+        const auto suspects =
+                m_history.suspectsOf(service, clocks.now, crash_archive::MAX_SUSPECTS);
+        if (!suspects.empty())
+            records.push_back(recordOf(service, suspects, clocks));
+    }
+    return records;
+}
+
+void quarantine::restore(const std::vector<crash_record> &records)
+{
+    const auto clocks = readClocks();
+    const ordered_lock lock(m_mutex);
+    for (const auto &record : records) {
+        if (!isConsistent(record))
+            continue;
+        for (const auto &[fingerprint, crashes] : suspectsOf(record, clocks))
+            m_history.restore({record.service, fingerprint}, crashes, clocks.now);
+    }
+}
+
 } // namespace clementinebeam
--- a/src/routing/internal/quarantine.h
+++ b/src/routing/internal/quarantine.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "clementinebeam/dispatch/crashhistory.h"
+#include "clementinebeam/dispatch/crasharchive.h"
 #include "clementinebeam/kernel/orderedmutex.h"
 #include "clementinebeam/routing/iquarantine.h"
 
@@ -14,6 +14,8 @@
     bool noteCrash(const service_name &service, std::uint64_t fingerprint,
                    const target_id &target) override;
     void noteAnswer(const service_name &service, std::uint64_t fingerprint) override;
+    std::vector<crash_record> records() const override;
+    void restore(const std::vector<crash_record> &records) override;
 
 private:
     mutable ordered_mutex m_mutex{lock_rank::RoutingTable};
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -264,6 +264,34 @@
     finish("crashing request");
 }
 
+// Guards against forgetting, with the last instance that knew it, which request crashes targets.
+BOOST_AUTO_TEST_CASE(request_that_crashes_its_target_is_refused_after_a_rolling_restart)
+{
+    http_request message;
+    message.method = "POST";
+    message.path = std::string("/v1/services/") + cluster::SERVICE + "/status/poison";
+    message.body = "CRASH";
+    const auto reasonAt = [&](std::size_t instance) {
+        http_channel channel(system.callerAddress(instance), {});
+        const auto response =
+                channel.exchange(message, boot_clock::now() + std::chrono::seconds(3));
+        return response ? std::string(response.value().headers.find("X-Reason")) : std::string();
+    };
+    BOOST_REQUIRE(system.waitFor([&] { return reasonAt(1) == "request_quarantined"; }));
+    for (const auto instance : INSTANCES) {
+        system.signalProcess("i" + std::to_string(instance), SIGTERM);
+        system.startInstance(instance);
+        BOOST_REQUIRE(system.waitFor([&] {
+            const auto document = system.status(instance);
+            return document.is_object() && document["ready"] == true;
+        }));
+    }
+    BOOST_REQUIRE(system.waitUntilServed(1));
+    for (const auto instance : INSTANCES)
+        BOOST_TEST(reasonAt(instance) == "request_quarantined");
+    finish("crashing request and rolling restart");
+}
+
 BOOST_AUTO_TEST_CASE(slots_of_a_lost_data_centre_are_served_again)
 {
     system.signalProcess("i3", SIGKILL);
