--- a/include/clementinebeam/admission/connectionpolicy.h
+++ b/include/clementinebeam/admission/connectionpolicy.h
@@ -27,10 +27,9 @@
 /// more connections than the process has descriptors for.
 /// @param connections the open connections.
 /// @param now the current time.
-/// @return the one that has been idle for longest, else the one that has sent least for its age,
-/// else
-///     the one whose caller has not read its answer for longest, for 4 s at least; none if requests
-///     are being handled, or answers sent, on all.
+/// @return the one that has been idle for longest, else the one that has sent least for its age, or
+///     else the one whose caller has not read its answer for longest, for 4 s at least; none if
+///     requests are being handled, or answers sent, on all.
 std::optional<std::size_t> connectionToClose(const std::vector<connection_summary> &connections,
                                              instant now);
 
--- a/include/clementinebeam/asynchttp/serverconnection.h
+++ b/include/clementinebeam/asynchttp/serverconnection.h
@@ -160,8 +160,7 @@
     std::size_t m_headBytes = 0;     ///< Memory of the current request's fields.
     std::size_t m_receivedBytes = 0; ///< Of the current request.
     std::size_t m_drainedBytes = 0;  ///< Dropped behind the last answer.
-    std::size_t m_undelivered =
-            0; ///< Bytes that the caller had not acknowledged when last checked.
+    std::size_t m_undelivered = 0;   ///< Bytes without acknowledgement when last checked.
     bool m_isReading = false;
     bool m_isHandling = false;
     bool m_isWriting = false;
--- a/src/asynchttp/internal/serverconnection.cpp
+++ b/src/asynchttp/internal/serverconnection.cpp
@@ -328,6 +328,7 @@
     if (!hold(neededBytes(0)) && m_messageBytes > MAX_PIPELINED_BYTES) {
         m_handler.onClosedForLimit("answer_memory");
         m_isWriting = false;
+        m_answer = {};
         closeWhenRead();
         return;
     }
