Soak: check stored crash records as such

Change: a record under the key of a crash record has to decode, to be consistent, to name the service of its key, which must have a coordinator's record, and to hold 1 to 128 suspects, unless it is empty. All other records are checked as before.

--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -1,5 +1,9 @@
 #include "soaksystem.h"
 
+#include "clementinebeam/dispatch/crasharchive.h"
+#include "clementinebeam/dispatch/crashrecord.h"
+#include "clementinebeam/gateway/iclusterstore.h"
+
 #include <csignal>
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -75,8 +79,31 @@
     }
 }
 
+/// Checks a record that holds which requests crash targets of a service.
+void soak_system::checkCrashRecord(const std::string &recordKey, const std::string &bytes)
+{
+    // An empty record removes the key.
+    if (bytes.empty())
+        return;
+    const auto record = decodeBinary<crash_record>(bytes);
+    if (!record || !isConsistent(record.value())
+        || crashRecordKey(record.value().service) != recordKey
+        || !m_records.contains(record.value().service)) {
+        m_history.addViolation("an unreadable crash record was stored under " + recordKey);
+        return;
+    }
+    const auto count = record.value().suspects.size();
+    if (count == 0 || count > crash_archive::MAX_SUSPECTS)
+        m_history.addViolation("a crash record with " + std::to_string(count)
+                               + " suspects was stored under " + recordKey);
+}
+
 void soak_system::checkRecord(const std::string &service, const std::string &bytes)
 {
+    if (service.starts_with(crashRecordKey({}))) {
+        checkCrashRecord(service, bytes);
+        return;
+    }
     const auto record = decodeBinary<ownership_record>(bytes);
     if (!record) {
         m_history.addViolation("an unreadable ownership record of " + service + " was stored");
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -80,6 +80,7 @@
     void publishConfiguration(std::uint64_t version, const std::string &readService);
     std::string settingsOf(std::size_t number) const;
     void checkRecord(const std::string &service, const std::string &bytes);
+    void checkCrashRecord(const std::string &recordKey, const std::string &bytes);
     void superviseProcesses();
     void runFor(std::chrono::milliseconds time);
     void waitForService();
