Refuse answers whose status is outside of 100 to 599

What callers saw: a target in trouble sent an answer with the status 000, and callers got it as an answer.

Cause: the parser takes any three digits for a status, and nothing behind it looked at the range. The same answer was taken for a refusal by the store, "nothing was done", which an append with a broken answer does not prove. 101, after which the bytes are no HTTP, was taken for an interim answer.

Change: one check of the head (module answers) for all answers that the gateway reads: requests, grants and releases, the store. A broken answer ends the exchange as MalformedAnswer and closes the connection; that proves nothing, so a request gets 502 and is repeated only if it may run twice. It is logged (answer_broken, with its reason) and counted (clementinebeam_gateway_broken_answers_total). The reasons cover what was refused before as well.

--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/answers/answererror.h"
 #include "clementinebeam/asynchttp/bytebudget.h"
 #include "clementinebeam/asynchttp/httpmessages.h"
 #include "clementinebeam/kernel/bootclock.h"
@@ -75,6 +76,13 @@
     /// connections.
     void setBudget(std::shared_ptr<byte_budget> budget) { m_budget = std::move(budget); }
 
+    /// @param handler called when the answer to a call is refused because it is broken; the
+    /// exchange then ends with MalformedAnswer.
+    void setBrokenAnswerHandler(broken_answer_handler handler)
+    {
+        m_onBrokenAnswer = std::move(handler);
+    }
+
     /// @return whether the connection is idle and another exchange may follow on it. Bytes that
     /// have arrived already would be taken for the next answer.
     bool isReusable() const
@@ -109,10 +117,12 @@
     bool reserveBody();
     void releaseReserved();
     bool parseOnce();
+    bool acceptHead();
     void onEndOfStream(bool wasOrderly);
     void finishAnswer();
     void resetParser();
     void fail(exchange_failure failure);
+    void refuseAnswer(const std::error_code &reason);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_connectTimer;
@@ -137,6 +147,7 @@
     open_handler m_onOpen;
     instant m_openedAt{};
     closed_handler m_onClosed;
+    broken_answer_handler m_onBrokenAnswer;
     boost::beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
 };
--- a/include/clementinebeam/gateway/iclusterstore.h
+++ b/include/clementinebeam/gateway/iclusterstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/answers/answererror.h"
 #include "clementinebeam/gateway/gatewaytypes.h"
 
 #include <functional>
@@ -71,6 +72,10 @@
     using append_handler = std::function<void(append_outcome)>;
     using membership_handler = std::function<void(membership)>;
 
+    /// @param handler called for each answer of the store that is refused because it is broken; the
+    /// call then ends with Unreachable.
+    virtual void setBrokenAnswerHandler(broken_answer_handler /*handler*/) { }
+
     /// Reads the newest record of each record key.
     /// @param done gets the records and the offset that readFrom() continues at.
     virtual void readNewest(store_stream stream, batch_handler done) = 0;
--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -1,6 +1,8 @@
 #include "clementinebeam/asynchttp/clientconnection.h"
 
+#include "clementinebeam/answers/answerhead.h"
 #include "clementinebeam/asynchttp/sockets.h"
+#include "clementinebeam/observability/logline.h"
 
 #include <boost/beast/http/write.hpp>
 
@@ -193,7 +195,7 @@
     }
     while (m_state == state::Busy && m_buffer.size() > 0 && parseOnce()) { }
     if (m_state == state::Busy && m_buffer.size() > MAX_UNPARSED_BYTES) {
-        fail(exchange_failure::MalformedAnswer);
+        refuseAnswer(answer_error::TooMuchUnparsed);
         return;
     }
     if (m_state == state::Busy || m_state == state::Idle)
@@ -206,13 +208,11 @@
     const auto consumed = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(consumed);
     if (error && error != boost::beast::http::error::need_more) {
-        fail(exchange_failure::MalformedAnswer);
+        refuseAnswer(error);
         return false;
     }
-    if (m_parser->is_header_done() && !m_isBodyReserved && !reserveBody()) {
-        fail(exchange_failure::AnswerTooLarge);
+    if (m_parser->is_header_done() && !m_isBodyReserved && !acceptHead())
         return false;
-    }
     if (m_parser->is_done()) {
         finishAnswer();
         return true;
@@ -220,11 +220,26 @@
     return consumed > 0 && !error;
 }
 
+/// Checks a head that is complete, and reserves memory for its body.
+/// @return whether the exchange goes on.
+bool client_connection::acceptHead()
+{
+    if (const auto error = checkAnswerHead(m_parser->get())) {
+        refuseAnswer(error);
+        return false;
+    }
+    if (!reserveBody()) {
+        fail(exchange_failure::AnswerTooLarge);
+        return false;
+    }
+    return true;
+}
+
 void client_connection::finishAnswer()
 {
     if (m_parser->get().result_int() / 100 == 1) {
         if (++m_interimAnswers > MAX_INTERIM_ANSWERS) {
-            fail(exchange_failure::MalformedAnswer);
+            refuseAnswer(answer_error::TooManyInterimAnswers);
             return;
         }
         resetParser();
@@ -233,7 +248,7 @@
     if (m_filter && !m_filter(m_parser->get())) {
         m_isCloseRequired = true;
         if (++m_droppedAnswers > MAX_DROPPED_ANSWERS) {
-            fail(exchange_failure::MalformedAnswer);
+            refuseAnswer(answer_error::TooManyUnrelatedAnswers);
             return;
         }
         resetParser();
@@ -261,19 +276,32 @@
             m_onClosed();
         return;
     }
-    const bool isStarted = m_parser && m_parser->got_some();
-    if (wasOrderly && m_parser && m_parser->is_header_done() && m_parser->need_eof()) {
-        boost::system::error_code error;
-        m_parser->put_eof(error);
-        m_isCloseRequired = true;
-        if (!error && m_parser->is_done()) {
-            finishAnswer();
-            if (m_state == state::Busy)
-                fail(exchange_failure::ConnectionLost);
-            return;
-        }
+    if (!m_parser || !m_parser->got_some()) {
+        fail(exchange_failure::ConnectionLost);
+        return;
+    }
+    if (!m_parser->is_header_done()) {
+        refuseAnswer(answer_error::HeadCutOff);
+        return;
+    }
+    if (!m_parser->need_eof()) {
+        refuseAnswer(answer_error::BodyCutOff);
+        return;
+    }
+    if (!wasOrderly) {
+        refuseAnswer(answer_error::ConnectionFailed);
+        return;
     }
-    fail(isStarted ? exchange_failure::MalformedAnswer : exchange_failure::ConnectionLost);
+    boost::system::error_code error;
+    m_parser->put_eof(error);
+    m_isCloseRequired = true;
+    if (error) {
+        refuseAnswer(error);
+        return;
+    }
+    finishAnswer();
+    if (m_state == state::Busy)
+        fail(exchange_failure::ConnectionLost);
 }
 
 void client_connection::resetParser()
@@ -298,6 +326,16 @@
         done(failure, {});
 }
 
+void client_connection::refuseAnswer(const std::error_code &reason)
+{
+    log_line(log_level::Warning, "answer_broken")
+            .add("peer", m_peer.address().to_string() + ':' + std::to_string(m_peer.port()))
+            .add("reason", reason.message());
+    if (m_onBrokenAnswer)
+        m_onBrokenAnswer(reason);
+    fail(exchange_failure::MalformedAnswer);
+}
+
 void client_connection::close()
 {
     m_state = state::Closed;
--- a/src/gateway/internal/coordinatedservice.cpp
+++ b/src/gateway/internal/coordinatedservice.cpp
@@ -125,6 +125,10 @@
 {
     // An order that was given up must not arrive later: its hold is awaited from then on.
     m_controlPool.dropUndeliveredAfter(GRANT_TIMEOUT);
+    m_controlPool.setBrokenAnswerHandler(
+            [&metrics = m_environment.metrics](const std::error_code &reason) {
+                metrics.countBrokenAnswer("control", reason);
+            });
     if (isKeyed)
         m_keyCoordinator.emplace(keySettings(bounds), m_record, confirmedAt, boot_clock::now(),
                                  termEndTimes);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -124,6 +124,12 @@
     , m_maintenanceTimer(context)
     , m_stopTimer(context)
 {
+    m_pool.setBrokenAnswerHandler([this](const std::error_code &reason) {
+        m_metrics.countBrokenAnswer("target", reason);
+    });
+    store.setBrokenAnswerHandler([this](const std::error_code &reason) {
+        m_metrics.countBrokenAnswer("store", reason);
+    });
     m_placement.setCoordination(&m_coordination);
     m_placement.setStalenessHandler([this](store_stream stream) { onStreamStale(stream); });
     m_placement.setEvacuations(
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -85,6 +85,9 @@
                         "Requests that the dispatcher rejected", m_registry))
     , m_storeCalls(family(prometheus::BuildCounter(), "clementinebeam_gateway_store_calls_total",
                           "Calls to the platform's store", m_registry))
+    , m_brokenAnswers(family(prometheus::BuildCounter(),
+                             "clementinebeam_gateway_broken_answers_total",
+                             "Answers that were refused because they are broken", m_registry))
     , m_moves(family(prometheus::BuildCounter(), "clementinebeam_gateway_range_moves_total",
                      "Ranges of keys that were moved to even out the load", m_registry))
     , m_heldBack(family(
@@ -237,6 +240,12 @@
     m_heldBack.Add({{"service", name}}).Increment(static_cast<double>(newlyHeldBack));
 }
 
+void gateway_metrics::countBrokenAnswer(std::string_view source, const std::error_code &reason)
+{
+    m_brokenAnswers.Add({{"source", std::string(source)}, {"reason", reason.message()}})
+            .Increment();
+}
+
 std::string gateway_metrics::render()
 {
     m_droppedLines.Set(static_cast<double>(droppedLogLines()));
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -10,6 +10,7 @@
 #include <prometheus/registry.h>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 namespace clementinebeam {
@@ -47,6 +48,11 @@
     /// @param result name of its store_failure.
     void countStoreCall(std::string_view call, std::string_view result);
 
+    /// Counts an answer that was refused because it is broken.
+    /// @param source what kind of call it answered: "target", "control" or "store".
+    /// @param reason why it is no answer.
+    void countBrokenAnswer(std::string_view source, const std::error_code &reason);
+
     /// @return calls to the store by kind since the previous call of this; empty if there were
     /// none.
     std::map<std::string, std::uint64_t> takeStoreCalls()
@@ -102,6 +108,7 @@
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Family<prometheus::Counter> &m_brokenAnswers;
     prometheus::Family<prometheus::Counter> &m_moves;
     prometheus::Family<prometheus::Counter> &m_heldBack;
     prometheus::Family<prometheus::Counter> &m_limits;
--- a/src/gateway/internal/targetconnectionpool.cpp
+++ b/src/gateway/internal/targetconnectionpool.cpp
@@ -56,6 +56,7 @@
     auto connection = std::make_shared<client_connection>(m_context, endpointOf(target.address),
                                                           CONNECT_TIMEOUT);
     connection->setBudget(m_budget);
+    connection->setBrokenAnswerHandler(m_onBrokenAnswer);
     if (m_undeliveredLimit)
         connection->dropUndeliveredAfter(*m_undeliveredLimit);
     return connection;
--- a/src/gateway/internal/targetconnectionpool.h
+++ b/src/gateway/internal/targetconnectionpool.h
@@ -21,6 +21,12 @@
     /// @param limit longest time for which sent bytes may stay unacknowledged.
     void dropUndeliveredAfter(std::chrono::milliseconds limit) { m_undeliveredLimit = limit; }
 
+    /// @param handler called for each broken answer on connections that are opened from now on.
+    void setBrokenAnswerHandler(broken_answer_handler handler)
+    {
+        m_onBrokenAnswer = std::move(handler);
+    }
+
     /// Takes a connection out of the pool.
     /// @param target the target to connect to.
     /// @return an idle connection, or a new one that connects with its first exchange.
@@ -49,6 +55,7 @@
     boost::asio::io_context &m_context;
     std::shared_ptr<byte_budget> m_budget;
     std::optional<std::chrono::milliseconds> m_undeliveredLimit;
+    broken_answer_handler m_onBrokenAnswer;
     std::map<target_id, std::vector<idle_connection>> m_idle; ///< Most recently used last.
 };
 
--- /dev/null
+++ b/tests/platform/brokentargettest.cpp
@@ -0,0 +1,108 @@
+#define BOOST_TEST_MODULE brokentarget
+#include "answersamples.h"
+#include "gatewayfixture.h"
+#include "scriptedserver.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinebeam;
+using namespace clementinebeam::test;
+
+namespace {
+
+/// @return the value of a header in the head of a request; empty if it is missing.
+std::string headerOf(const std::string &head, const std::string &name)
+{
+    const auto start = head.find("\r\n" + name + ": ");
+    if (start == std::string::npos)
+        return {};
+    const auto begin = start + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+/// A gateway with a target whose answers are those of a test, byte for byte.
+class broken_target_fixture : public gateway_fixture
+{
+public:
+    static constexpr std::uint16_t BROKEN_PORT = TARGET_PORT + 4;
+
+    broken_target_fixture()
+        : m_broken(context, local(BROKEN_PORT),
+                   [this](scripted_server &, const scripted_server::socket_pointer &socket,
+                          int count) { onRead(socket, count); })
+        , m_resetTimer(context)
+    { }
+
+    /// Makes the target the only one of the service without keys.
+    void serveRequests()
+    {
+        store.put("keyed.servers", "broken", entryText(BROKEN_PORT, "plain", "ready"));
+        store.remove("keyed.servers", "t1");
+        store.remove("keyed.servers", "t2");
+        run(milliseconds(400));
+    }
+
+    /// @return the value of a metric, 0 if there is none; the labels in their order.
+    int metric(const std::string &nameAndLabels)
+    {
+        const auto text = ask(request(http::verb::get, "/metrics", "m"), GATEWAY_PORT + 3).body();
+        const auto start = text.find('\n' + nameAndLabels + ' ');
+        return start == std::string::npos
+                ? 0
+                : std::stoi(text.substr(start + nameAndLabels.size() + 2));
+    }
+
+    int brokenAnswers(const std::string &reason, const std::string &source)
+    {
+        return metric("clementinebeam_gateway_broken_answers_total{reason=\"" + reason
+                      + "\",source=\"" + source + "\"}");
+    }
+
+    answer_sample sample;         ///< The answer to requests.
+    bool isResetInUpload = false; ///< The answer is followed by a reset, before the body is read.
+    int requests = 0;             ///< Requests received.
+    int connections() const { return m_broken.connections; }
+
+private:
+    void onRead(const scripted_server::socket_pointer &socket, int count)
+    {
+        const auto id = headerOf(m_broken.lastRead, "X-Clementinebeam-Request-Id");
+        if (isResetInUpload && count > 0)
+            return;
+        ++requests;
+        m_broken.isReading = !isResetInUpload;
+        scripted_server::write(socket,
+                               sample.bytes("X-Clementinebeam-Request-Id: " + id
+                                                    + "\r\nX-Clementinebeam-Response-Signature: s"
+                                                      "\r\n",
+                                            true));
+        if (!isResetInUpload)
+            return;
+        m_resetTimer.expires_after(milliseconds(20));
+        m_resetTimer.async_wait(
+                [socket](boost::system::error_code) { scripted_server::end(socket, true); });
+    }
+
+    scripted_server m_broken;
+    boost::asio::steady_timer m_resetTimer;
+};
+
+} // namespace
+
+// Regression test for an incident: a target answered with the status 000, and callers got that.
+BOOST_FIXTURE_TEST_CASE(answer_with_an_invalid_status_does_not_reach_callers, broken_target_fixture)
+{
+    serveRequests();
+    sample = {"", "HTTP/1.1 000 OK", WHOLE, "whole"};
+    for (int count = 1; count <= 2; ++count) {
+        const auto answer =
+                ask(request(http::verb::post, "/write/x", "id-" + std::to_string(count)));
+        BOOST_CHECK_EQUAL(answer.result_int(), 502U);
+        BOOST_CHECK(answer["Retry-After"].empty());
+        BOOST_CHECK_EQUAL(requests, count);
+        BOOST_CHECK_EQUAL(connections(), count);
+        run(milliseconds(600)); // Until the target is no longer avoided.
+    }
+    BOOST_CHECK_EQUAL(brokenAnswers("invalid status", "target"), 2);
+}
--- a/tests/platform/clientconnectiontest.cpp
+++ b/tests/platform/clientconnectiontest.cpp
@@ -2,6 +2,7 @@
 #include "clementinebeam/asynchttp/clientconnection.h"
 #include "clementinebeam/asynchttp/eventloop.h"
 #include "clementinebeam/asynchttp/sockets.h"
+#include "scriptedserver.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -10,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace clementinebeam;
+using clementinebeam::test::scripted_server;
 using std::chrono::milliseconds;
 namespace http = boost::beast::http;
 namespace data = boost::unit_test::data;
@@ -25,96 +27,6 @@
     return {boost::asio::ip::make_address_v4("127.0.0.1"), PORT};
 }
 
-/// A server that writes the bytes that a test specifies, whether or not they are valid HTTP.
-class scripted_server
-{
-public:
-    /// Called after each read of a connection, with the number of its earlier reads (0 at first).
-    using script =
-            std::function<void(scripted_server &, const std::shared_ptr<tcp::socket> &, int)>;
-
-    scripted_server(boost::asio::io_context &context, script onRead)
-        : m_context(context)
-        , m_acceptor(context, local())
-        , m_onRead(std::move(onRead))
-    {
-        accept();
-    }
-
-    /// Writes a beginning, then repeats the same bytes until the connection breaks.
-    void writeEndlessly(const std::shared_ptr<tcp::socket> &socket, const std::string &beginning,
-                        const std::string &repeated)
-    {
-        const auto bytes = std::make_shared<std::string>(beginning);
-        while (bytes->size() < BLOCK)
-            *bytes += repeated;
-        boost::asio::async_write(*socket, boost::asio::buffer(*bytes),
-                                 [=, this](boost::system::error_code error, std::size_t) {
-                                     if (error)
-                                         ++brokenConnections;
-                                     else
-                                         writeEndlessly(socket, {}, repeated);
-                                 });
-    }
-
-    static void write(const std::shared_ptr<tcp::socket> &socket, const std::string &bytes)
-    {
-        boost::asio::write(*socket, boost::asio::buffer(bytes));
-    }
-
-    /// Writes bytes that may exceed the buffers of the connection.
-    static void writeLater(const std::shared_ptr<tcp::socket> &socket, std::string bytes)
-    {
-        const auto text = std::make_shared<std::string>(std::move(bytes));
-        boost::asio::async_write(*socket, boost::asio::buffer(*text),
-                                 [socket, text](boost::system::error_code, std::size_t) {});
-    }
-
-    /// Closes the connection in an orderly way or with a reset.
-    static void end(const std::shared_ptr<tcp::socket> &socket, bool isReset)
-    {
-        if (isReset)
-            socket->set_option(boost::asio::socket_base::linger(true, 0));
-        socket->close();
-    }
-
-    std::vector<boost::system::error_code> ends; ///< How connections ended, seen by the server.
-    int brokenConnections = 0; ///< Connections that the client ended while the server was writing.
-
-private:
-    static constexpr std::size_t BLOCK = 16384;
-
-    void accept()
-    {
-        const auto socket = std::make_shared<tcp::socket>(m_context);
-        m_acceptor.async_accept(*socket, [this, socket](boost::system::error_code error) {
-            if (error)
-                return;
-            read(socket, 0);
-            accept();
-        });
-    }
-
-    void read(const std::shared_ptr<tcp::socket> &socket, int count)
-    {
-        const auto buffer = std::make_shared<std::array<char, 4096>>();
-        socket->async_read_some(boost::asio::buffer(*buffer),
-                                [=, this](boost::system::error_code error, std::size_t) {
-                                    (void)buffer;
-                                    if (error) {
-                                        ends.push_back(error);
-                                        return;
-                                    }
-                                    m_onRead(*this, socket, count);
-                                    read(socket, count + 1);
-                                });
-    }
-
-    boost::asio::io_context &m_context;
-    tcp::acceptor m_acceptor;
-    script m_onRead;
-};
-
 http_call callWithId(const std::string &id)
 {
     http_call call;
@@ -209,7 +121,7 @@
     constexpr int CONNECTIONS = 50;
     client_fixture fixture;
     scripted_server server(
-            fixture.context,
+            fixture.context, local(),
             [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
                 if (count == 0)
                     self.writeEndlessly(socket, item.beginning, item.repeated);
@@ -240,7 +152,7 @@
     const auto part = [](std::size_t percent) { return std::string(BUDGET * percent / 100, 'x'); };
     int accepted = 0;
     scripted_server server(
-            fixture.context,
+            fixture.context, local(),
             [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
                 if (count > 0)
                     return;
@@ -269,7 +181,7 @@
     const auto announced = answerTo("1", body);
     std::shared_ptr<tcp::socket> first;
     scripted_server server(
-            fixture.context,
+            fixture.context, local(),
             [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
                 if (count > 0)
                     return;
@@ -297,7 +209,7 @@
     client_fixture fixture;
     const std::string body(BUDGET * 45 / 100, 'x');
     scripted_server server(
-            fixture.context,
+            fixture.context, local(),
             [&](scripted_server &self, const std::shared_ptr<tcp::socket> &socket, int count) {
                 if (count == 0)
                     self.writeLater(socket, answerTo("1", body));
@@ -315,7 +227,7 @@
     for (std::size_t cut = 0; cut <= duplicate.size(); ++cut) {
         client_fixture fixture;
         scripted_server server(
-                fixture.context,
+                fixture.context, local(),
                 [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int count) {
                     if (count == 0) {
                         scripted_server::write(socket, duplicate);
@@ -344,7 +256,7 @@
         client_fixture fixture;
         boost::asio::steady_timer timer(fixture.context);
         scripted_server server(
-                fixture.context,
+                fixture.context, local(),
                 [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int) {
                     scripted_server::write(socket, answerTo("1", "first"));
                     timer.expires_after(delay);
@@ -365,7 +277,7 @@
 {
     client_fixture fixture;
     std::shared_ptr<tcp::socket> server_side;
-    scripted_server server(fixture.context,
+    scripted_server server(fixture.context, local(),
                            [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int) {
                                scripted_server::write(socket, answerTo("1", "first"));
                                server_side = socket;
@@ -390,7 +302,7 @@
             for (const bool isReset : {false, true}) {
                 client_fixture fixture;
                 scripted_server server(
-                        fixture.context,
+                        fixture.context, local(),
                         [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int) {
                             scripted_server::write(socket, answer.substr(0, cut));
                             scripted_server::end(socket, isReset);
@@ -411,7 +323,7 @@
     for (std::size_t cut = 0; cut < head.size(); ++cut) {
         client_fixture fixture;
         scripted_server server(
-                fixture.context,
+                fixture.context, local(),
                 [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int) {
                     scripted_server::write(socket, head.substr(0, cut));
                     scripted_server::end(socket, false);
@@ -429,7 +341,7 @@
         client_fixture fixture;
         boost::asio::steady_timer timer(fixture.context);
         scripted_server server(
-                fixture.context,
+                fixture.context, local(),
                 [&](scripted_server &, const std::shared_ptr<tcp::socket> &socket, int) {
                     scripted_server::write(socket, HEAD + "\r\nwhole");
                     timer.expires_after(milliseconds(20));
@@ -462,7 +374,7 @@
         client_fixture fixture;
         int calls = 0;
         scripted_server server(
-                fixture.context,
+                fixture.context, local(),
                 [&](scripted_server &, const std::shared_ptr<tcp::socket> &, int) { ++calls; });
         const auto connection = fixture.connect();
         connection->dropUndeliveredAfter(milliseconds(500));
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,11 +1,14 @@
 #define BOOST_TEST_MODULE storeclient
 #include "platform/storeclient.h"
+#include "answersamples.h"
 #include "clementinebeam/asynchttp/clientconnection.h"
+#include "scriptedserver.h"
 #include "storestandin.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace clementinebeam;
+using namespace clementinebeam::test;
 using std::chrono::milliseconds;
 namespace http = boost::beast::http;
 
@@ -76,6 +79,34 @@
     }
 }
 
+// A broken answer does not even prove that the store did nothing.
+BOOST_AUTO_TEST_CASE(append_with_a_broken_answer_counts_as_unreachable)
+{
+    for (const auto &sample : brokenAnswers()) {
+        BOOST_TEST_CONTEXT(sample.name)
+        {
+            boost::asio::io_context context{1};
+            scripted_server store(
+                    context, local(),
+                    [&](scripted_server &self, const scripted_server::socket_pointer &socket, int) {
+                        self.write(socket, sample.bytes({}));
+                        self.end(socket, false);
+                    });
+            store_client client(context, local(), 1);
+            int broken = 0;
+            client.setBrokenAnswerHandler([&](const std::error_code &) { ++broken; });
+            std::optional<append_outcome> result;
+            client.appendAt(store_stream::Coordination, 7, {"orders", "state", false},
+                            [&](const append_outcome &outcome) { result = outcome; });
+            for (int round = 0; round < 500 && !result; ++round)
+                context.run_for(milliseconds(2));
+            BOOST_REQUIRE(result);
+            BOOST_CHECK(result->failure == store_failure::Unreachable);
+            BOOST_CHECK_EQUAL(broken, 1);
+        }
+    }
+}
+
 // Guards against a stand-in of the store that answers a long poll again after its wait time is
 // over.
 BOOST_AUTO_TEST_CASE(stand_in_answers_a_long_poll_once)
