Refuse an answer without a length whose connection was reset

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was still being written. Callers got that part as a whole answer.

Cause: the system reports the error of a connection once. Here the pending write got it, and the pending read then saw an end of the stream like after an orderly close, which ends a body without a length. The error of the write was dropped.

Evidence: with both results logged, the write ends with "Connection reset by peer" and the read with "End of file", in 6 of 6 exchanges that are reset during an upload. On the code before, brokentargettest gets 200 instead of 502, and brokenanswertest accepts "part" (both delays).

Change: a connection remembers that a write met its failure; then an end of the stream ends no answer. A broken pipe is no such failure: the system reports it if the peer ended its direction in order before, so an early answer that ends in order still passes (whole_answer_during_the_upload_passes: the target reads on, waits, or closes). Answers with a length or in chunks were refused before and are tested too.

--- a/include/clementinebeam/asynchttp/clientconnection.h
+++ b/include/clementinebeam/asynchttp/clientconnection.h
@@ -135,6 +135,7 @@
     std::optional<std::chrono::milliseconds> m_undeliveredLimit;
     bool m_isUnacknowledgedLimited = false; ///< As set on the socket.
     bool m_hasSent = false;
+    bool m_hasFailed = false; ///< A write met a failure of the connection, such as a reset.
     std::size_t m_droppedAnswers = 0;
     std::size_t m_interimAnswers = 0;
     std::shared_ptr<byte_budget> m_budget;
--- a/src/asynchttp/internal/clientconnection.cpp
+++ b/src/asynchttp/internal/clientconnection.cpp
@@ -44,6 +44,7 @@
     m_filter = std::move(filter);
     m_done = std::move(done);
     m_hasSent = false;
+    m_hasFailed = false;
     m_droppedAnswers = 0;
     m_interimAnswers = 0;
     resetParser();
@@ -119,6 +120,9 @@
                 // answer.
                 if (error)
                     self->m_isCloseRequired = true;
+                // After a broken pipe, the peer had ended its direction in order before.
+                if (error && error != boost::asio::error::broken_pipe)
+                    self->m_hasFailed = true;
             });
 }
 
@@ -288,7 +292,9 @@
         refuseAnswer(answer_error::BodyCutOff);
         return;
     }
-    if (!wasOrderly) {
+    // The system reports the error of a connection once. If the write got it, the read sees an end
+    // of the stream like after an orderly close.
+    if (!wasOrderly || m_hasFailed) {
         refuseAnswer(answer_error::ConnectionFailed);
         return;
     }
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -109,3 +109,62 @@
         BOOST_CHECK_EQUAL(fixture.result.answer.body(), sample.body);
     }
 }
+
+// Regression test for an incident: after a reset, the write of the call got the error of the
+// connection, and the read that followed an end of the stream like after an orderly close.
+BOOST_AUTO_TEST_CASE(answer_that_a_reset_ends_during_the_upload_is_refused)
+{
+    constexpr std::size_t UPLOAD_BYTES = 32UL << 20U;
+    for (const auto &answer : {STATUS_OK + "\r\n" + ID + "\r\npart",
+                               STATUS_OK + "\r\n" + ID + CHUNKED_FIELD + "\r\n4\r\npart\r\n",
+                               STATUS_OK + "\r\n" + ID + "Content-Length: 5\r\n\r\npart"}) {
+        for (const auto delay : {milliseconds(0), milliseconds(20)}) {
+            std::shared_ptr<boost::asio::steady_timer> timer;
+            exchange_fixture fixture([&](scripted_server &self,
+                                         const scripted_server::socket_pointer &socket, int count) {
+                if (count > 0)
+                    return;
+                self.isReading = false;
+                self.write(socket, answer);
+                timer->expires_after(delay);
+                timer->async_wait([socket](boost::system::error_code) {
+                    scripted_server::end(socket, true);
+                });
+            });
+            timer = std::make_shared<boost::asio::steady_timer>(fixture.context);
+            fixture.exchange(http::verb::post, UPLOAD_BYTES);
+            BOOST_CHECK_MESSAGE(!fixture.isSuccess(), "accepted: " << answer);
+            BOOST_CHECK(!fixture.connection->isReusable());
+        }
+    }
+}
+
+// An early answer is whole once its length has arrived, or the target has ended it in order,
+// whether the target then reads the rest of the call, leaves it unread, or closes, which resets
+// the connection.
+BOOST_AUTO_TEST_CASE(whole_answer_during_the_upload_passes)
+{
+    constexpr std::size_t UPLOAD_BYTES = 32UL << 20U;
+    const auto withLength = STATUS_OK + "\r\n" + ID + WHOLE + "\r\nwhole";
+    const auto withoutLength = STATUS_OK + "\r\n" + ID + "\r\nwhole";
+    for (const auto &answer : {withLength, withoutLength}) {
+        for (const std::string after : {"reads", "waits", "closes"}) {
+            scripted_server::socket_pointer kept;
+            exchange_fixture fixture([&](scripted_server &self,
+                                         const scripted_server::socket_pointer &socket, int count) {
+                if (count > 0)
+                    return;
+                self.isReading = after == "reads";
+                self.write(socket, answer);
+                socket->shutdown(boost::asio::socket_base::shutdown_send);
+                if (after != "closes")
+                    kept = socket;
+            });
+            fixture.exchange(http::verb::post, UPLOAD_BYTES);
+            BOOST_CHECK_MESSAGE(fixture.isSuccess(), "refused: " << answer << ", " << after);
+            BOOST_CHECK_EQUAL(fixture.result.answer.body(), "whole");
+            BOOST_CHECK(!fixture.connection->isReusable());
+            kept.reset();
+        }
+    }
+}
--- a/tests/platform/brokentargettest.cpp
+++ b/tests/platform/brokentargettest.cpp
@@ -106,3 +106,23 @@
     }
     BOOST_CHECK_EQUAL(brokenAnswers("invalid status", "target"), 2);
 }
+
+// Regression test for an incident: a target answered a long upload at once, without a length, and
+// reset the connection while it was still being written. Callers got the first part of the body as
+// a whole answer.
+BOOST_FIXTURE_TEST_CASE(part_of_an_answer_to_an_upload_does_not_reach_callers,
+                        broken_target_fixture)
+{
+    constexpr std::size_t UPLOAD_BYTES = 32UL << 20U;
+    serveRequests();
+    sample = {"", STATUS_OK, {}, "part"};
+    isResetInUpload = true;
+    auto call = request(http::verb::post, "/write/x", "id-1");
+    call.body() = std::string(UPLOAD_BYTES, 'b');
+    call.prepare_payload();
+    const auto answer = ask(call);
+    BOOST_CHECK_EQUAL(answer.result_int(), 502U);
+    BOOST_CHECK(answer["Retry-After"].empty());
+    BOOST_CHECK_EQUAL(requests, 1);
+    BOOST_CHECK_EQUAL(brokenAnswers("connection failed", "target"), 1);
+}
