Refuse answers with another transfer coding than chunked

What callers saw: nothing was reported for this; it was found by looking for the same cause. A target that answers with "Transfer-Encoding: gzip, chunked", or with a coding in HTTP/1.0, sends a body that is not its content; callers got it with a length and without the coding. A 204 that announces a body was passed on with its Content-Length, so a caller waits for bytes that never come.

Cause: the parser takes each coding that it does not know for a body that ends with the connection, drops it beside a length, and doesn't ask whether the status allows a body.

All others (wrong, conflicting and repeated lengths, broken chunks, a length beside chunks) are refused by the parser, as before.

--- a/tests/platform/answersamples.h
+++ b/tests/platform/answersamples.h
@@ -86,12 +86,53 @@
     return samples;
 }
 
+/// @return answers whose head does not say where their body ends, or contradicts itself.
+inline std::vector<answer_sample> answersWithBrokenLength()
+{
+    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    std::vector<answer_sample> samples;
+    for (const auto *length :
+         {"-5", "+5", "5x", "0x5", "5.0", "", "5, 6", "5,", "5 5", "99999999999999999999999999"})
+        samples.push_back({std::string("length \"") + length + '"', STATUS_OK,
+                           std::string("Content-Length: ") + length + "\r\n", "whole"});
+    samples.push_back(
+            {"two lengths", STATUS_OK, "Content-Length: 5\r\nContent-Length: 6\r\n", "whole "});
+    samples.push_back({"length and chunks", STATUS_OK, WHOLE + CHUNKED_FIELD, chunks});
+    samples.push_back({"chunks and length", STATUS_OK, CHUNKED_FIELD + WHOLE, chunks});
+    for (const auto *coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+                               "xchunked", "chunked;q=1", "identity", ""})
+        samples.push_back({std::string("transfer coding \"") + coding + '"', STATUS_OK,
+                           std::string("Transfer-Encoding: ") + coding + "\r\n", chunks});
+    samples.push_back({"two transfer codings", STATUS_OK,
+                       "Transfer-Encoding: gzip\r\n" + CHUNKED_FIELD, chunks});
+    samples.push_back({"transfer coding and length", STATUS_OK,
+                       "Transfer-Encoding: gzip\r\n" + WHOLE, "whole"});
+    samples.push_back({"chunks in HTTP/1.0", "HTTP/1.0 200 OK", CHUNKED_FIELD, chunks});
+    samples.push_back({"body of 204", "HTTP/1.1 204 No Content", WHOLE, "whole"});
+    samples.push_back({"chunks of 204", "HTTP/1.1 204 No Content", CHUNKED_FIELD, chunks});
+    const std::vector<std::string> brokenChunks{
+            "x\r\nwhole\r\n0\r\n\r\n",
+            "-5\r\nwhole\r\n0\r\n\r\n",
+            "5\r\nwholemore\r\n0\r\n\r\n",
+            "5\r\nwhole0\r\n\r\n",
+            "5\nwhole\r\n0\r\n\r\n",
+            "10000000000000005\r\nwhole\r\n0\r\n\r\n",
+            "5 x\r\nwhole\r\n0\r\n\r\n",
+            "\r\n5\r\nwhole\r\n0\r\n\r\n",
+            "5\r\nwhole\r\n0\r\nBad Name: 1\r\n\r\n",
+            "5\r\nwhole\r\n0\r\nContent-Length: 5\r\n\r\n",
+    };
+    for (const auto &broken : brokenChunks)
+        samples.push_back({"chunks " + broken, STATUS_OK, CHUNKED_FIELD, broken});
+    return samples;
+}
+
 /// @return all broken answers of the functions above.
 inline std::vector<answer_sample> brokenAnswers()
 {
     auto samples = answersWithBrokenStatus();
-    const auto more = answersWithBrokenFields();
-    samples.insert(samples.end(), more.begin(), more.end());
+    for (const auto &more : {answersWithBrokenFields(), answersWithBrokenLength()})
+        samples.insert(samples.end(), more.begin(), more.end());
     return samples;
 }
 
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -98,6 +98,11 @@
     checkIsRefused(sample);
 }
 
+BOOST_DATA_TEST_CASE(broken_length_is_refused, data::make(answersWithBrokenLength()), sample)
+{
+    checkIsRefused(sample);
+}
+
 BOOST_DATA_TEST_CASE(sound_answer_passes, data::make(soundAnswers()), sample)
 {
     for (const bool isExpectedFirst : {false, true}) {
--- a/tests/platform/brokentargettest.cpp
+++ b/tests/platform/brokentargettest.cpp
@@ -126,3 +126,41 @@
     BOOST_CHECK_EQUAL(requests, 1);
     BOOST_CHECK_EQUAL(brokenAnswers("connection failed", "target"), 1);
 }
+
+// The body of such an answer is not what the target's head says it is.
+BOOST_FIXTURE_TEST_CASE(answer_with_an_unknown_transfer_coding_does_not_reach_callers,
+                        broken_target_fixture)
+{
+    serveRequests();
+    sample = {"", STATUS_OK, "Transfer-Encoding: gzip, chunked\r\n", "4\r\npart\r\n0\r\n\r\n"};
+    const auto answer = ask(request(http::verb::post, "/write/x", "id-1"));
+    BOOST_CHECK_EQUAL(answer.result_int(), 502U);
+    BOOST_CHECK_EQUAL(requests, 1);
+    BOOST_CHECK_EQUAL(brokenAnswers("invalid transfer coding", "target"), 1);
+}
+
+// A broken answer to a release does not prove that the target stopped to serve the keys.
+BOOST_FIXTURE_TEST_CASE(broken_answers_to_grants_and_releases_are_not_believed,
+                        broken_target_fixture)
+{
+    sample = {"", STATUS_OK, "X-Clementinebeam-Handover: forged\r\n" + WHOLE, "whole"};
+    store.put("keyed.servers", "broken", entryText(BROKEN_PORT, "keyed", "ready"));
+    store.put("keyed.servers", "k1", entryText(TARGET_PORT + 2, "keyed", "draining"));
+    const auto grantsBefore = keyed.grants();
+    runUntil([this] { return requests > 0; });
+    run(milliseconds(200));
+    const auto answer = [this](const std::string &id) {
+        auto call = request(http::verb::get, "/key/x", id);
+        call.set("X-Clementinebeam-Shard-Key", "4711");
+        return ask(call);
+    };
+    BOOST_CHECK_EQUAL(answer("id-1").result_int(), 200U); // The keys have moved.
+    sample = {"", STATUS_OK,
+              "Transfer-Encoding: gzip, chunked\r\nX-Clementinebeam-Handover: other\r\n",
+              "4\r\npart\r\n0\r\n\r\n"};
+    store.put("keyed.servers", "k1", entryText(TARGET_PORT + 2, "keyed", "ready"));
+    store.put("keyed.servers", "broken", entryText(BROKEN_PORT, "keyed", "draining"));
+    run(milliseconds(1000));
+    BOOST_CHECK_EQUAL(keyed.grants(), grantsBefore);
+    BOOST_CHECK_GT(brokenAnswers("invalid transfer coding", "control"), 0);
+}
