Read responses in the native daemon only as whole answers of HTTP/1.1

What callers of the native daemon saw: a target in trouble sent an answer in whose head a field's name had a blank or the head had a wrong length; they got it as an answer, in part with a body that was not the target's. The daemon believed such answers to control messages and probes as well, and those of the log and of the instance list. Bytes behind an answer were taken for the answer to the next call on the connection; only requests name their call.

Cause: responses were read with the client of the server library, which is made to be lenient: it drops blanks after a name, ends the head at a line that begins with a blank, takes any version and a status up to 999, reads a number up to its first other character, takes the first of two lengths, and keeps what it read ahead for the next response.

Change: http_connection reads with the parser and the check of the gateway (response_reader), on a socket whose operations end at the deadline (deadline_socket). A connection on which anything arrived since its last response is opened anew. Broken answers are logged and counted (clementinebeam_broken_answers_total). Responses without a length are still refused as a whole (response_without_a_content_length_is_an_error).

--- a/include/clementinebeam/http/httpchannel.h
+++ b/include/clementinebeam/http/httpchannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clementinebeam/answers/answererror.h"
 #include "clementinebeam/http/httptypes.h"
 #include "clementinebeam/kernel/bootclock.h"
 #include "clementinebeam/kernel/result.h"
@@ -24,7 +25,7 @@
 
 /// A pool of connections to one server, opened in advance, each with its own thread.
 ///
-/// Opening a connection and reading a body may block for many seconds regardless of the deadline.
+/// Opening a connection may block for many seconds regardless of the deadline.
 /// Only the channel's threads block then, never the thread of a caller. After an exchange timed
 /// out, every connection that was opened earlier is reopened before its next use.
 class http_channel
@@ -41,6 +42,10 @@
     http_channel(const http_channel &) = delete;
     http_channel &operator=(const http_channel &) = delete;
 
+    /// @param handler called on a thread of the channel for each response that is refused because
+    ///        it is broken; the exchange then ends with AnswerIncomplete or ConnectionLost.
+    void setBrokenAnswerHandler(broken_answer_handler handler);
+
     /// Sends a request and waits for the response.
     /// @param request the request.
     /// @param deadline latest time to wait for the response.
--- a/include/clementinebeam/observability/imetrics.h
+++ b/include/clementinebeam/observability/imetrics.h
@@ -27,6 +27,12 @@
     /// @param reason why the message was dropped; a label of the metric.
     virtual void countDrop(std::string_view reason) = 0;
 
+    /// Counts an answer that was refused because it is broken.
+    /// @param source who sent it: "target", "control" (a target's answer to a control message or
+    ///        probe), "log" or "instance_list".
+    /// @param reason why it is no answer; a label of the metric.
+    virtual void countBrokenAnswer(std::string_view source, std::string_view reason) = 0;
+
     /// Counts a retry of a request.
     /// @param service name of the service.
     /// @param reason machine-readable reason why the previous attempt failed.
--- a/src/http/internal/httpchannel.cpp
+++ b/src/http/internal/httpchannel.cpp
@@ -90,6 +90,12 @@
             joinOrDetach(*entry);
     }
 
+    void setBrokenAnswerHandler(broken_answer_handler handler)
+    {
+        const ordered_lock lock(m_mutex);
+        m_onBrokenAnswer = std::move(handler);
+    }
+
     bool isOpen() const
     {
         const ordered_lock lock(m_mutex);
@@ -182,7 +188,7 @@
                 self.isConnected = false;
                 return !endIfSurplus(self);
             }
-            if (generation != m_generation) {
+            if (generation != m_generation || !connection.isReusable()) {
                 connection.close();
                 m_jobsChanged.notify_one();
                 return true;
@@ -208,9 +214,22 @@
         // After a timeout, connections opened earlier may be dead too: renew them before reuse.
         if (!response && response.error() == error_kind::DeadlineExceeded)
             ++m_generation;
+        if (const auto &reason = connection.brokenAnswer())
+            reportBrokenAnswer(reason);
         current.callback(std::move(response));
     }
 
+    void reportBrokenAnswer(const std::error_code &reason)
+    {
+        broken_answer_handler handler;
+        {
+            const ordered_lock lock(m_mutex);
+            handler = m_onBrokenAnswer;
+        }
+        if (handler)
+            handler(reason);
+    }
+
     /// Fails jobs whose deadline passed while no connection could be opened.
     void rejectExpired()
     {
@@ -273,6 +292,7 @@
     std::list<std::shared_ptr<worker>> m_workers;
     std::atomic<std::uint64_t> m_generation{0};
     bool m_stopping = false;
+    broken_answer_handler m_onBrokenAnswer;
 };
 
 http_channel::http_channel(network_address address, const channel_settings &settings)
@@ -315,6 +335,11 @@
     return make_error_code(error_kind::DeadlineExceeded);
 }
 
+void http_channel::setBrokenAnswerHandler(broken_answer_handler handler)
+{
+    m_impl->setBrokenAnswerHandler(std::move(handler));
+}
+
 bool http_channel::isOpen() const
 {
     return m_impl->isOpen();
--- a/src/http/internal/httpconnection.cpp
+++ b/src/http/internal/httpconnection.cpp
@@ -1,16 +1,16 @@
 #include "clementinebeam/http/httpconnection.h"
 
-#include <algorithm>
-#include <array>
+#include "clementinebeam/answers/answererror.h"
+#include "internal/deadlinesocket.h"
+#include "internal/responsereader.h"
+
 #include <civetweb.h>
 
 namespace clementinebeam {
 
 namespace {
 
-constexpr std::size_t ERROR_BYTES = 128;
-constexpr std::size_t READ_BYTES = 16384;
-constexpr std::size_t MAX_RESPONSE_BYTES = 16 << 20;
+constexpr std::chrono::seconds CONNECT_TIMEOUT{10};
 
 std::string encodePath(const std::string &path)
 {
@@ -46,80 +46,65 @@
 
 } // namespace
 
-http_connection::~http_connection()
-{
-    close();
-}
+http_connection::http_connection()
+    : m_socket(std::make_unique<deadline_socket>())
+{ }
+
+http_connection::~http_connection() = default;
 
 std::error_code http_connection::open(const network_address &address)
 {
-    close();
     m_address = address;
-    std::array<char, ERROR_BYTES> error{};
-    m_connection =
-            mg_connect_client(address.host.c_str(), address.port, 0, error.data(), error.size());
-    if (!m_connection)
+    if (m_socket->connect(address, boot_clock::now() + CONNECT_TIMEOUT))
         return error_kind::TargetUnreachable;
     return {};
 }
 
 void http_connection::close()
 {
-    if (m_connection)
-        mg_close_connection(m_connection);
-    m_connection = nullptr;
+    m_socket->close();
+}
+
+bool http_connection::isOpen() const
+{
+    return m_socket->isOpen();
+}
+
+bool http_connection::isReusable() const
+{
+    return m_socket->isQuiet();
 }
 
 result<http_response> http_connection::exchange(const http_request &request, instant deadline)
 {
-    if (!m_connection)
-        return make_error_code(error_kind::TargetUnreachable);
-    const auto text = formatRequest(request, m_address);
-    const int written = mg_write(m_connection, text.data(), text.size());
-    if (written <= 0) {
+    m_brokenAnswer = {};
+    if (!isReusable()) {
         close();
         return make_error_code(error_kind::TargetUnreachable);
     }
-    if (static_cast<std::size_t>(written) < text.size()) {
+    std::size_t written = 0;
+    const auto error = m_socket->write(formatRequest(request, m_address), deadline, written);
+    if (error) {
         close();
-        return make_error_code(error_kind::ConnectionLost);
+        if (written == 0)
+            return make_error_code(error_kind::TargetUnreachable);
+        return make_error_code(error == std::errc::timed_out ? error_kind::DeadlineExceeded
+                                                             : error_kind::ConnectionLost);
     }
-    auto response = readResponse(deadline);
-    if (!response)
+    response_reader reader(*m_socket, request.method == "HEAD");
+    if (const auto failure = reader.read(deadline)) {
         close();
-    return response;
-}
-
-result<http_response> http_connection::readResponse(instant deadline)
-{
-    const auto remaining =
-            std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_clock::now());
-    std::array<char, ERROR_BYTES> error{};
-    const int timeout = static_cast<int>(std::max<std::int64_t>(1, remaining.count()));
-    if (mg_get_response(m_connection, error.data(), error.size(), timeout) < 0) {
-        const bool late = boot_clock::now() >= deadline;
-        return make_error_code(late ? error_kind::DeadlineExceeded : error_kind::ConnectionLost);
-    }
-    const auto *info = mg_get_response_info(m_connection);
-    if (info->content_length < 0
-        || info->content_length > static_cast<long long>(MAX_RESPONSE_BYTES))
-        return make_error_code(error_kind::AnswerIncomplete);
-    http_response response;
-    response.status = info->status_code;
-    for (int index = 0; index < info->num_headers; ++index)
-        response.headers.add(info->http_headers[index].name, info->http_headers[index].value);
-    const auto length = static_cast<std::size_t>(info->content_length);
-    std::array<char, READ_BYTES> buffer{};
-    while (response.body.size() < length) {
-        const auto chunkBytes = std::min(buffer.size(), length - response.body.size());
-        const int got = mg_read(m_connection, buffer.data(), chunkBytes);
-        if (got <= 0)
-            return make_error_code(error_kind::AnswerIncomplete);
-        response.body.append(buffer.data(), static_cast<std::size_t>(got));
+        if (failure == std::errc::timed_out)
+            return make_error_code(error_kind::DeadlineExceeded);
+        if (!reader.hasStarted())
+            return make_error_code(error_kind::ConnectionLost);
+        m_brokenAnswer = failure;
+        return make_error_code(failure == answer_error::HeadCutOff ? error_kind::ConnectionLost
+                                                                   : error_kind::AnswerIncomplete);
     }
-    if (mg_strcasecmp(std::string(response.headers.find("Connection")).c_str(), "close") == 0)
+    if (!reader.mayContinue())
         close();
-    return response;
+    return reader.takeResponse();
 }
 
 } // namespace clementinebeam
--- a/src/nativelog/internal/httpinstancelist.cpp
+++ b/src/nativelog/internal/httpinstancelist.cpp
@@ -34,6 +34,11 @@
     : m_channel(address, instanceListChannelSettings())
 { }
 
+void http_instance_list::setBrokenAnswerHandler(const broken_answer_handler &handler)
+{
+    m_channel.setBrokenAnswerHandler(handler);
+}
+
 result<std::vector<listing>> http_instance_list::fetch(std::chrono::milliseconds timeout)
 {
     http_request request;
--- a/src/nativelog/internal/httplogclient.cpp
+++ b/src/nativelog/internal/httplogclient.cpp
@@ -55,6 +55,12 @@
     , m_appendChannel(address, channelSettings(APPEND_CONNECTIONS))
 { }
 
+void http_log_client::setBrokenAnswerHandler(const broken_answer_handler &handler)
+{
+    m_readChannel.setBrokenAnswerHandler(handler);
+    m_appendChannel.setBrokenAnswerHandler(handler);
+}
+
 void http_log_client::append(const std::string &stream, std::string payload,
                              std::function<void()> onAppended)
 {
--- a/src/nativelog/internal/httplogclient.h
+++ b/src/nativelog/internal/httplogclient.h
@@ -11,6 +11,9 @@
 public:
     explicit http_log_client(const network_address &address);
 
+    /// @param handler called on any thread for each answer that is refused because it is broken.
+    void setBrokenAnswerHandler(const broken_answer_handler &handler);
+
     void append(const std::string &stream, std::string payload,
                 std::function<void()> onAppended) override;
     result<log_batch> read(const std::string &stream, log_offset from,
--- a/src/observability/internal/prometheusmetrics.cpp
+++ b/src/observability/internal/prometheusmetrics.cpp
@@ -29,6 +29,10 @@
                                 .Name("clementinebeam_dropped_messages_total")
                                 .Help("Messages of other instances that were dropped")
                                 .Register(m_registry))
+    , m_brokenAnswers(prometheus::BuildCounter()
+                              .Name("clementinebeam_broken_answers_total")
+                              .Help("Answers that were refused because they are broken")
+                              .Register(m_registry))
     , m_retries(prometheus::BuildCounter()
                         .Name("clementinebeam_retries_total")
                         .Help("Second tries of requests")
@@ -80,6 +84,12 @@
     m_droppedMessages.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void prometheus_metrics::countBrokenAnswer(std::string_view source, std::string_view reason)
+{
+    m_brokenAnswers.Add({{"source", std::string(source)}, {"reason", std::string(reason)}})
+            .Increment();
+}
+
 void prometheus_metrics::countRetry(const service_name &service, std::string_view reason)
 {
     m_retries.Add({{"service", service}, {"reason", std::string(reason)}}).Increment();
--- a/src/observability/internal/prometheusmetrics.h
+++ b/src/observability/internal/prometheusmetrics.h
@@ -18,6 +18,7 @@
     void countRequest(const service_name &service, const std::string &kind, error_kind reason,
                       std::chrono::microseconds duration) override;
     void countDrop(std::string_view reason) override;
+    void countBrokenAnswer(std::string_view source, std::string_view reason) override;
     void countRetry(const service_name &service, std::string_view reason) override;
     void countMoves(const service_name &service, std::string_view cause,
                     std::size_t count) override;
@@ -32,6 +33,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Histogram> &m_durations;
     prometheus::Family<prometheus::Counter> &m_droppedMessages;
+    prometheus::Family<prometheus::Counter> &m_brokenAnswers;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_slotMoves;
     prometheus::Histogram &m_admissions;
--- a/src/targets/internal/httptargetclient.cpp
+++ b/src/targets/internal/httptargetclient.cpp
@@ -98,6 +98,26 @@
     }
 }
 
+void http_target_client::setBrokenAnswerHandler(broken_target_answer_handler handler)
+{
+    const ordered_lock lock(m_mutex);
+    m_onBrokenAnswer = std::move(handler);
+}
+
+std::shared_ptr<http_channel> http_target_client::makeChannel(const target_id &target,
+                                                              const network_address &address,
+                                                              std::size_t connectionCount,
+                                                              std::string_view source) const
+{
+    auto channel = std::make_shared<http_channel>(address, channelSettings(connectionCount));
+    if (m_onBrokenAnswer)
+        channel->setBrokenAnswerHandler(
+                [handler = m_onBrokenAnswer, target, source](const std::error_code &reason) {
+                    handler(target, source, reason);
+                });
+    return channel;
+}
+
 std::shared_ptr<http_channel> http_target_client::requestChannel(const target_id &target)
 {
     const ordered_lock lock(m_mutex);
@@ -106,8 +126,7 @@
         return nullptr;
     auto &entry = found->second;
     if (!entry.requests)
-        entry.requests = std::make_shared<http_channel>(entry.address,
-                                                        channelSettings(m_connectionsPerTarget));
+        entry.requests = makeChannel(target, entry.address, m_connectionsPerTarget, "target");
     return entry.requests;
 }
 
@@ -119,7 +138,7 @@
         return nullptr;
     auto &entry = found->second;
     if (!entry.control)
-        entry.control = std::make_shared<http_channel>(entry.address, channelSettings(1));
+        entry.control = makeChannel(target, entry.address, 1, "control");
     return entry.control;
 }
 
--- a/tests/model/modelinstance.cpp
+++ b/tests/model/modelinstance.cpp
@@ -72,6 +72,7 @@
                       std::chrono::microseconds) override
     { }
     void countDrop(std::string_view) override { }
+    void countBrokenAnswer(std::string_view, std::string_view) override { }
     void countRetry(const service_name &, std::string_view) override { }
     void countMoves(const service_name &, std::string_view, std::size_t) override { }
     void observeAdmission(std::chrono::microseconds) override { }
