Name the reason for which the operator's tool refuses an answer

What operators saw: the tool took broken answers for answers of the instance, as it reads with the same connection as the native daemon (fixed there); and for those that it did refuse it said "the instance does not respond", also after a change that may have been made.

Evidence: on the new test finds 19 of 78 broken answers accepted.

Change: the tool names the reason, and says that the call may have been carried out. The exit code stays 3.

Measured: contracttest passes.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -29,9 +29,13 @@
     return exit_code::Failed;
 }
 
-exit_code reportUnreachable()
+exit_code reportNoResponse(const std::error_code &error)
 {
-    std::cerr << "the instance does not respond; see --instance\n";
+    if (error.category() == errorCategory())
+        std::cerr << "the instance does not respond; see --instance\n";
+    else
+        std::cerr << "the instance's answer is broken (" << error.message()
+                  << "); it may have done what the call says\n";
     return exit_code::Unreachable;
 }
 
@@ -40,7 +44,7 @@
 {
     const auto response = context.client.get(path, query);
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     if (response.value().status != 200)
         return reportFailure(response.value());
     if (context.options.isJson)
@@ -54,7 +58,7 @@
 {
     const auto response = context.client.get("/v1/status");
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     if (response.value().status != 200)
         return reportFailure(response.value());
     const auto &document = response.value().document;
@@ -98,7 +102,7 @@
 {
     const auto response = context.client.get("/v1/status");
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     if (response.value().status != 200)
         return reportFailure(response.value());
     auto rows = nlohmann::json::array();
@@ -137,7 +141,7 @@
 {
     const auto response = context.client.get("/v1/configuration");
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     if (response.value().status != 200)
         return reportFailure(response.value());
     std::cout << response.value().document.dump(2) << '\n';
@@ -187,7 +191,7 @@
     do {
         const auto response = context.client.get("/v1/instances");
         if (!response)
-            return reportUnreachable();
+            return reportNoResponse(response.error());
         outdated = countOutdated(response.value().document, version);
         if (outdated == 0) {
             std::cerr << "version " << version << " is in force everywhere\n";
@@ -206,7 +210,7 @@
             "base=" + encodeQuery(base) + "&author=" + encodeQuery(context.options.author);
     const auto response = context.client.post("/v1/patches", query, patch);
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     const auto &document = response.value().document;
     if (context.options.isJson)
         std::cout << document.dump(2) << '\n';
@@ -255,7 +259,7 @@
 {
     const auto current = context.client.get("/v1/configuration");
     if (!current)
-        return reportUnreachable();
+        return reportNoResponse(current.error());
     if (current.value().status != 200)
         return reportFailure(current.value());
     nlohmann::json patch;
@@ -279,7 +283,7 @@
             + "&shard=" + encodeQuery(context.arguments[1]);
     const auto response = context.client.post("/v1/confirm-lost", query, "");
     if (!response)
-        return reportUnreachable();
+        return reportNoResponse(response.error());
     if (response.value().status != 200)
         return reportFailure(response.value());
     std::cout << "confirmed\n";
--- a/src/cli/operatorclient.cpp
+++ b/src/cli/operatorclient.cpp
@@ -53,6 +53,8 @@
     if (connection.open(m_address))
         return make_error_code(error_kind::PeerUnreachable);
     auto response = connection.exchange(request, boot_clock::now() + RESPONSE_TIMEOUT);
+    if (connection.brokenAnswer())
+        return connection.brokenAnswer();
     if (!response)
         return make_error_code(error_kind::PeerUnreachable);
     operator_response parsed;
--- a/src/cli/operatorclient.h
+++ b/src/cli/operatorclient.h
@@ -25,14 +25,16 @@
     /// Sends a GET request.
     /// @param path path of the resource.
     /// @param query encoded query parameters.
-    /// @return the response; PeerUnreachable if none arrived, BadMessage if it is not JSON.
+    /// @return the response; PeerUnreachable if none arrived, BadMessage if it is not JSON, or why
+    ///         it is not an answer of HTTP/1.1.
     result<operator_response> get(const std::string &path, const std::string &query = {}) const;
 
     /// Sends a POST request.
     /// @param path path of the resource.
     /// @param query encoded query parameters.
     /// @param body content of the request.
-    /// @return the response; PeerUnreachable if none arrived, BadMessage if it is not JSON.
+    /// @return the response; PeerUnreachable if none arrived, BadMessage if it is not JSON, or why
+    ///         it is not an answer of HTTP/1.1.
     result<operator_response> post(const std::string &path, const std::string &query,
                                    const std::string &body) const;
 
--- a/tests/contract/brokenanswercontract.cpp
+++ b/tests/contract/brokenanswercontract.cpp
@@ -4,6 +4,7 @@
 #include "internal/httpinstancelist.h"
 #include "internal/httplogclient.h"
 #include "internal/httptargetclient.h"
+#include "operatorclient.h"
 #include "ports.h"
 #include "rawserver.h"
 
@@ -140,6 +141,20 @@
     BOOST_TEST(broken == 2);
 }
 
+BOOST_DATA_TEST_CASE(broken_answer_to_the_operators_tool_is_an_error, data::make(brokenAnswers()),
+                     sample)
+{
+    auto answer = sample;
+    if (answer.body == "whole")
+        answer.body = "[]   ";
+    raw_server server(testAddress(44).port, answer.bytes({}));
+    const operator_client client(testAddress(44), "token");
+    const auto response = client.get("/v1/instances");
+    BOOST_REQUIRE_MESSAGE(!response, "accepted: " << sample.name);
+    BOOST_TEST(!response.error().message().empty());
+    BOOST_CHECK(response.error().category() != errorCategory());
+}
+
 BOOST_DATA_TEST_CASE(sound_response_passes, data::make(soundAnswers()), sample)
 {
     if (!sample.hasLength)
