Test that broken frames of another instance are no replies

No fault: frames that are too long, cut off, not authenticated or HTTP end the link, and the call fails.

--- a/tests/contract/peercontract.cpp
+++ b/tests/contract/peercontract.cpp
@@ -1,5 +1,6 @@
 #include "internal/asiopeertransport.h"
 #include "ports.h"
+#include "rawserver.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -113,3 +114,18 @@
         answered = a.transport.call("b", state_request{true}, milliseconds(200)).has_value();
     BOOST_TEST(answered);
 }
+
+// A reply counts only as one whole authenticated frame.
+BOOST_AUTO_TEST_CASE(broken_frames_are_no_replies)
+{
+    const std::string tooLong("\xff\xff\xff\xff", 4);
+    const std::string cutOff = std::string("\0\0\0\x40", 4) + "part";
+    const std::string unknown = std::string("\0\0\0\x4", 4) + "part";
+    for (const auto &frame : {tooLong, cutOff, unknown, std::string("HTTP/1.1 200 OK\r\n\r\n")}) {
+        raw_server server(testAddress(31).port, frame);
+        node a("a", 30);
+        const auto reply = a.transport.call("b", state_request{true}, milliseconds(200));
+        BOOST_TEST(!reply.has_value());
+        BOOST_TEST(a.metrics->drops == (frame == unknown ? 1 : 0));
+    }
+}
