--- a/include/clementinebeam/gateway/iclusterstore.h
+++ b/include/clementinebeam/gateway/iclusterstore.h
@@ -74,7 +74,7 @@
 
     /// @param handler called for each answer of the store that is refused because it is broken; the
     /// call then ends with Unreachable.
-    virtual void setBrokenAnswerHandler(broken_answer_handler /*handler*/) { }
+    virtual void setBrokenAnswerHandler(const broken_answer_handler & /*handler*/) { }
 
     /// Reads the newest record of each record key.
     /// @param done gets the records and the offset that readFrom() continues at.
