Native daemon: try each address of a name

What operators could have seen: with a name for the log or for targets, such as localhost, which stands for an address of IPv6 and one of IPv4, a server that listens on the second one only is not reached.

Change: the addresses are tried in their order, until the deadline.

Measured: contracttest passes. Its new case server_is_reached_by_its_name does not fail without the change on a machine where localhost has an address of IPv4 only, as this one.

--- a/src/http/internal/deadlinesocket.cpp
+++ b/src/http/internal/deadlinesocket.cpp
@@ -4,7 +4,6 @@
 #include <cerrno>
 #include <limits>
 #include <memory>
-#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -43,13 +42,26 @@
         != 0)
         return std::make_error_code(std::errc::host_unreachable);
     const std::unique_ptr<addrinfo, address_list_deleter> list(found);
-    m_descriptor = socket(list->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    // A name may stand for addresses of which the server listens on one only.
+    std::error_code error;
+    for (const auto *entry = list.get(); entry != nullptr; entry = entry->ai_next) {
+        error = connectTo(*entry, deadline);
+        if (!error || error == std::errc::timed_out)
+            break;
+    }
+    return error;
+}
+
+/// @return why there is no connection to the address; the socket is closed then.
+std::error_code deadline_socket::connectTo(const addrinfo &address, instant deadline)
+{
+    m_descriptor = socket(address.ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_descriptor < 0)
         return systemError(errno);
     const int on = 1;
     setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     std::error_code error;
-    if (::connect(m_descriptor, list->ai_addr, list->ai_addrlen) != 0) {
+    if (::connect(m_descriptor, address.ai_addr, address.ai_addrlen) != 0) {
         error = errno == EINPROGRESS ? await(POLLOUT, deadline) : systemError(errno);
         int number = 0;
         socklen_t size = sizeof(number);
--- a/src/http/internal/deadlinesocket.h
+++ b/src/http/internal/deadlinesocket.h
@@ -4,6 +4,7 @@
 #include "clementinebeam/kernel/networkaddress.h"
 
 #include <cstddef>
+#include <netdb.h>
 #include <string_view>
 #include <system_error>
 
@@ -48,6 +49,7 @@
     void close();
 
 private:
+    std::error_code connectTo(const addrinfo &address, instant deadline);
     std::error_code await(short events, instant deadline) const;
 
     int m_descriptor = -1;
--- a/tests/contract/channelcontract.cpp
+++ b/tests/contract/channelcontract.cpp
@@ -86,6 +86,14 @@
     BOOST_TEST(response.value().status == 413);
 }
 
+BOOST_AUTO_TEST_CASE(server_is_reached_by_its_name)
+{
+    http_server server(serverSettingsFor(45), echo);
+    BOOST_REQUIRE(!server.start());
+    http_channel channel({"localhost", testAddress(45).port}, singleConnection());
+    BOOST_TEST(channel.exchange({}, deadlineIn(milliseconds(5000))).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(request_to_a_closed_port_is_reported_as_not_sent)
 {
     http_channel channel(testAddress(12), singleConnection());
