--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -35,7 +35,7 @@
         std::cerr << "the instance does not respond; see --instance\n";
     else
         std::cerr << "the instance's answer is broken (" << error.message()
-                  << "); it may have done what the call says\n";
+                  << "); a change may have been made\n";
     return exit_code::Unreachable;
 }
 
