--- a/tests/contract/peercontract.cpp
+++ b/tests/contract/peercontract.cpp
@@ -124,7 +124,7 @@
     for (const auto &frame : {tooLong, cutOff, unknown, std::string("HTTP/1.1 200 OK\r\n\r\n")}) {
         raw_server server(testAddress(31).port, frame);
         node a("a", 30);
-        const auto reply = a.transport.call("b", state_request{true}, milliseconds(200));
+        const auto reply = a.transport.call("b", state_request{true}, milliseconds(1000));
         BOOST_TEST(!reply.has_value());
         BOOST_TEST(a.metrics->drops == (frame == unknown ? 1 : 0));
     }
