Test of broken answers: destroy the timer before its context

Cause: the timer of the server's script was declared outside of the fixture, so it was destroyed after the context that it belongs to. AddressSanitizer reports a use after free. Change: the fixture owns the timer.

--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -58,6 +58,7 @@
     bool isSuccess() const { return *result.failure == exchange_failure::None; }
 
     boost::asio::io_context context{1};
+    boost::asio::steady_timer timer{context}; ///< For the server's script.
     scripted_server server;
     std::shared_ptr<client_connection> connection;
     outcome result;
@@ -124,19 +125,17 @@
                                STATUS_OK + "\r\n" + ID + CHUNKED_FIELD + "\r\n4\r\npart\r\n",
                                STATUS_OK + "\r\n" + ID + "Content-Length: 5\r\n\r\npart"}) {
         for (const auto delay : {milliseconds(0), milliseconds(20)}) {
-            std::shared_ptr<boost::asio::steady_timer> timer;
             exchange_fixture fixture([&](scripted_server &self,
                                          const scripted_server::socket_pointer &socket, int count) {
                 if (count > 0)
                     return;
                 self.isReading = false;
                 self.write(socket, answer);
-                timer->expires_after(delay);
-                timer->async_wait([socket](boost::system::error_code) {
+                fixture.timer.expires_after(delay);
+                fixture.timer.async_wait([socket](boost::system::error_code) {
                     scripted_server::end(socket, true);
                 });
             });
-            timer = std::make_shared<boost::asio::steady_timer>(fixture.context);
             fixture.exchange(http::verb::post, UPLOAD_BYTES);
             BOOST_CHECK_MESSAGE(!fixture.isSuccess(), "accepted: " << answer);
             BOOST_CHECK(!fixture.connection->isReusable());
