--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -7,7 +7,6 @@
     static const std::map<std::string, case_function> ALL{
             {"restored-ownership", restoredOwnership},
             {"restored-configuration", restoredConfiguration},
-            {"crash-in-answer", crashInAnswer},
             {"leader-turned-away", leaderTurnedAway},
             {"unknown-transfer-coding", unknownTransferCoding},
     };
--- a/review/standins-3/cases.h
+++ b/review/standins-3/cases.h
@@ -11,7 +11,6 @@
 
 int restoredOwnership(deployment &system, bool hasTrouble);
 int restoredConfiguration(deployment &system, bool hasTrouble);
-int crashInAnswer(deployment &system, bool hasTrouble);
 int leaderTurnedAway(deployment &system, bool hasTrouble);
 int unknownTransferCoding(deployment &system, bool hasTrouble);
 
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -26,7 +26,6 @@
 #include <random>
 #include <set>
 #include <spawn.h>
-#include <sstream>
 #include <string>
 #include <sys/wait.h>
 #include <thread>
@@ -107,9 +106,6 @@
     return answer;
 }
 
-/// An answer with this header loses the second half of its body, and its connection ends.
-constexpr const char *CUT_HEADER = "X-Review-Cut";
-
 /// An HTTP server with one thread a connection.
 class server
 {
@@ -129,9 +125,6 @@
         std::thread([this] { accept(); }).detach();
     }
 
-    /// Called after a part of an answer with CUT_HEADER was written, before its connection ends.
-    std::function<void()> onCut;
-
     /// New connections are refused from now on, as while no process listens.
     void stopListening()
     {
@@ -210,18 +203,6 @@
             answer->keep_alive(call.keep_alive());
             if (call.method() != http::verb::head)
                 answer->prepare_payload();
-            if (answer->count(CUT_HEADER) > 0) {
-                answer->erase(CUT_HEADER);
-                std::ostringstream text;
-                text << *answer;
-                const auto bytes = text.str();
-                asio::write(socket,
-                            asio::buffer(bytes.data(), bytes.size() - answer->body().size() / 2),
-                            error);
-                if (onCut)
-                    onCut();
-                break;
-            }
             http::write(socket, *answer, error);
             if (error || !answer->keep_alive())
                 break;
@@ -668,9 +649,6 @@
                 fences[key] = m_holds[key].fence;
     }
 
-    /// Called when a part of an answer was sent and the rest is to be lost.
-    void setCutHandler(std::function<void()> handler) { m_server.onCut = std::move(handler); }
-
     /// Called with each request that arrives, before it is handled; may answer it.
     std::function<reply(worker &, const request &)> onArrival;
     /// Called with the id of each request that begins to run.
--- a/review/standins-3/smuggling.cpp
+++ b/review/standins-3/unknowntransfercoding.cpp
@@ -1,6 +1,7 @@
 #include "cases.h"
 
 #include <array>
+#include <sstream>
 
 namespace review {
 
