--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -7,6 +7,7 @@
     static const std::map<std::string, case_function> ALL{
             {"restored-ownership", restoredOwnership},
             {"restored-configuration", restoredConfiguration},
+            {"crash-after-release", crashAfterRelease},
             {"leader-turned-away", leaderTurnedAway},
             {"unknown-transfer-coding", unknownTransferCoding},
     };
--- a/review/standins-3/cases.h
+++ b/review/standins-3/cases.h
@@ -11,6 +11,7 @@
 
 int restoredOwnership(deployment &system, bool hasTrouble);
 int restoredConfiguration(deployment &system, bool hasTrouble);
+int crashAfterRelease(deployment &system, bool hasTrouble);
 int leaderTurnedAway(deployment &system, bool hasTrouble);
 int unknownTransferCoding(deployment &system, bool hasTrouble);
 
