--- a/review/standins-3/crashafterrelease.cpp
+++ b/review/standins-3/crashafterrelease.cpp
@@ -46,8 +46,9 @@
 
 } // namespace
 
-/// The workers of a service are replaced one after the other, in three releases. A request that the former ones have
-/// answered crashes each of the new ones that runs it. Its caller sends it again and again.
+/// The workers of a service are replaced one after the other, in three releases. A request that the
+/// former ones have answered crashes each of the new ones that runs it. Its caller sends it again
+/// and again.
 int crashAfterRelease(deployment &system, bool hasTrouble)
 {
     auto &shared = system.shared;
@@ -99,10 +100,9 @@
             while (!isStopped) {
                 auto &machine = *system.machines[number];
                 const auto path = "/read/" + std::to_string(number);
-                const auto got =
-                        ask(machine.host(), gateway::FRONT,
-                            makeCall(http::verb::get, "shop.example", path, DEADLINE), DEADLINE,
-                            path);
+                const auto got = ask(machine.host(), gateway::FRONT,
+                                     makeCall(http::verb::get, "shop.example", path, DEADLINE),
+                                     DEADLINE, path);
                 served += got.status == 200 ? 1 : 0;
                 pauseFor(milliseconds(40));
             }
--- a/review/standins-3/leaderturnedaway.cpp
+++ b/review/standins-3/leaderturnedaway.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-/// Workers name a limit. The store turns away the machine that coordinates their service, and serves
-/// the others.
+/// Workers name a limit. The store turns away the machine that coordinates their service, and
+/// serves the others.
 int leaderTurnedAway(deployment &system, bool hasTrouble)
 {
     auto &shared = system.shared;
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -5,7 +5,10 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    const bool hasTrouble = !std::getenv("TROUBLE") || std::strcmp(std::getenv("TROUBLE"), "0") != 0;
+    std::signal(SIGTERM, review::giveUp);
+    std::signal(SIGINT, review::giveUp);
+    const bool hasTrouble =
+            !std::getenv("TROUBLE") || std::strcmp(std::getenv("TROUBLE"), "0") != 0;
     if (argc != 3) {
         std::fprintf(stderr, "usage: %s CASE FOLDER\n", argv[0]);
         return review::NOT_RUN;
@@ -26,7 +29,7 @@
     system.end();
     review::record.line("result %d", result);
     std::printf("%s: %s\n", argv[1],
-                result == review::HELD         ? "the rule held"
+                result == review::HELD             ? "the rule held"
                         : result == review::BROKEN ? "the rule was broken"
                                                    : "the case could not run");
     std::fflush(nullptr);
--- a/review/standins-3/restoredconfiguration.cpp
+++ b/review/standins-3/restoredconfiguration.cpp
@@ -33,7 +33,7 @@
                     m_served += ask(machine.host(), gateway::FRONT,
                                     makeCall(http::verb::get, "shop.example", "/read/b", DEADLINE),
                                     DEADLINE, "/read/")
-                                                        .status
+                                            .status
                                     == 200
                             ? 1
                             : 0;
@@ -61,8 +61,8 @@
 } // namespace
 
 /// The operator sends two versions. The store is away for a second and comes back from a copy that
-/// was made before them; the operator writes the newest version again. Some seconds later, a version
-/// moves the route to another service.
+/// was made before them; the operator writes the newest version again. Some seconds later, a
+/// version moves the route to another service.
 int restoredConfiguration(deployment &system, bool hasTrouble)
 {
     auto &shared = system.shared;
--- a/review/standins-3/restoredownership.cpp
+++ b/review/standins-3/restoredownership.cpp
@@ -69,9 +69,9 @@
 
 } // namespace
 
-/// Other keys become busy, so that keys move. The store is away for a second, and comes back from a copy
-/// that was made four seconds before it went. Some seconds later, the machines are stopped and started
-/// in turn, which is planned work.
+/// Other keys become busy, so that keys move. The store is away for a second, and comes back from a
+/// copy that was made four seconds before it went. Some seconds later, the machines are stopped and
+/// started in turn, which is planned work.
 int restoredOwnership(deployment &system, bool hasTrouble)
 {
     auto &shared = system.shared;
--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -1,9 +1,11 @@
-// Stand-ins of the platform's store, of workers and of clients, for the scripts of the third review.
-// They follow the users' pages: PROTOCOL.md, and the news on the store's drill and on statements.
+// Stand-ins of the platform's store, of workers and of clients, for the scripts of the third
+// review. They follow the users' pages: PROTOCOL.md, and the news on the store's drill and on
+// statements.
 #pragma once
 
 #include <utility>
 
+#include <array>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -53,6 +55,18 @@
 constexpr unsigned KEYS = 65536;
 constexpr milliseconds HEARTBEAT{870};
 
+/// Ids of the system's processes that run now, so that they are ended however the script ends.
+inline std::array<std::atomic<pid_t>, 8> startedProcesses;
+
+/// Ends the system's processes and the script; may be called by a signal handler.
+[[noreturn]] inline void giveUp(int)
+{
+    for (const auto &id : startedProcesses)
+        if (id > 0)
+            ::kill(id, SIGKILL);
+    _exit(NOT_RUN);
+}
+
 inline steady::time_point startTime = steady::now();
 
 inline long nowMs()
@@ -73,7 +87,7 @@
     {
         m_file = std::fopen(path.c_str(), "w");
         if (!m_file)
-            std::exit(NOT_RUN);
+            giveUp(0);
     }
     __attribute__((format(printf, 2, 3))) void line(const char *format, ...)
     {
@@ -120,7 +134,7 @@
         if (const auto error = open()) {
             std::fprintf(stderr, "can't listen on %s:%u: %s\n", host.c_str(), port,
                          error.message().c_str());
-            std::exit(NOT_RUN);
+            giveUp(0);
         }
         std::thread([this] { accept(); }).detach();
     }
@@ -418,8 +432,8 @@
                                  {"value", encodeBase64(item.first)},
                                  {"offset", item.second}});
         }
-        return makeReply(
-                200, json{{"items", items}, {"more", false}, {"end", records.size()}}.dump());
+        return makeReply(200,
+                         json{{"items", items}, {"more", false}, {"end", records.size()}}.dump());
     }
 
     response append(const std::string &topic, const std::string &at, const std::string &body)
@@ -477,15 +491,16 @@
         if (!m_members.contains(member))
             ++m_generation;
         m_members[member] = now + milliseconds(parseMs(call.at("ttl_time").get<std::string>()));
-        const auto index = static_cast<unsigned>(
-                std::distance(m_members.begin(), m_members.find(member)));
+        const auto index =
+                static_cast<unsigned>(std::distance(m_members.begin(), m_members.find(member)));
         json parts = json::array();
         for (unsigned part = index; part < 8; part += m_members.size())
             parts.push_back({call.at("topics").at(0), part, 0});
-        return makeReply(200, json{{"generation", m_generation},
-                                   {"ttl_time", call.at("ttl_time")},
-                                   {"parts", parts}}
-                                      .dump());
+        return makeReply(200,
+                         json{{"generation", m_generation},
+                              {"ttl_time", call.at("ttl_time")},
+                              {"parts", parts}}
+                                 .dump());
     }
 
     std::mutex m_mutex;
@@ -762,18 +777,18 @@
         const std::string id(call["X-Clementinebeam-Request-Id"]);
         if (id.empty())
             return rejection(call, 400, "no id");
-        const unsigned key = m_isKeyed ? static_cast<unsigned>(std::strtoul(
-                                     std::string(call["X-Clementinebeam-Shard-Key"]).c_str(),
-                                     nullptr, 10))
-                                       : 0;
+        const unsigned key = m_isKeyed
+                ? static_cast<unsigned>(std::strtoul(
+                        std::string(call["X-Clementinebeam-Shard-Key"]).c_str(), nullptr, 10))
+                : 0;
         std::unique_lock lock(m_mutex);
         const auto run = m_run;
         if (m_running >= m_slots) {
             if (m_waiting >= MAX_WAITING)
                 return rejection(call, 503, "full");
             ++m_waiting;
-            const bool hasSlot = m_ended.wait_for(lock, milliseconds(1000),
-                                                  [&] { return m_running < m_slots; });
+            const bool hasSlot =
+                    m_ended.wait_for(lock, milliseconds(1000), [&] { return m_running < m_slots; });
             --m_waiting;
             if (!hasSlot)
                 return rejection(call, 503, "deadline");
@@ -847,7 +862,8 @@
                 const std::string &host, const std::string &zone, milliseconds work,
                 unsigned slots = 2)
     {
-        auto item = std::make_unique<worker>(m_store, id, service, isKeyed, host, zone, work, slots);
+        auto item =
+                std::make_unique<worker>(m_store, id, service, isKeyed, host, zone, work, slots);
         auto &added = *item;
         const std::lock_guard lock(m_mutex);
         m_workers.push_back(std::move(item));
@@ -964,8 +980,8 @@
 }
 
 /// Sends one request on a new connection and waits for its answer.
-inline outcome ask(const std::string &host, unsigned short port, request call, milliseconds deadline,
-                   const std::string &what)
+inline outcome ask(const std::string &host, unsigned short port, request call,
+                   milliseconds deadline, const std::string &what)
 {
     const std::string id(call["X-Clementinebeam-Request-Id"]);
     record.line("sent %s to %s: %s", id.c_str(), host.c_str(), what.c_str());
@@ -1073,12 +1089,13 @@
                                              O_WRONLY | O_CREAT | O_APPEND, 0600);
         posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
         pid_t id = 0;
-        if (posix_spawn(&id, program.c_str(), &files, nullptr, arguments, environment.data()) != 0) {
+        if (posix_spawn(&id, program.c_str(), &files, nullptr, arguments, environment.data())
+            != 0) {
             std::fprintf(stderr, "can't start %s\n", program.c_str());
-            std::exit(NOT_RUN);
+            giveUp(0);
         }
         posix_spawn_file_actions_destroy(&files);
-        m_process = id;
+        setProcess(id);
         record.line("machine %s starts", m_name.c_str());
     }
 
@@ -1094,7 +1111,7 @@
     {
         if (m_process > 0 && waitpid(m_process, &m_status, WNOHANG) == m_process) {
             record.line("machine %s has ended with status %d", m_name.c_str(), m_status);
-            m_process = 0;
+            setProcess(0);
         }
         return m_process > 0;
     }
@@ -1108,7 +1125,7 @@
         if (m_process > 0) {
             ::kill(m_process, SIGKILL);
             waitpid(m_process, &m_status, 0);
-            m_process = 0;
+            setProcess(0);
         }
     }
 
@@ -1118,7 +1135,7 @@
             return;
         ::kill(m_process, SIGKILL);
         waitpid(m_process, &m_status, 0);
-        m_process = 0;
+        setProcess(0);
     }
 
     bool isReady()
@@ -1166,6 +1183,23 @@
     const std::string &host() const { return m_host; }
 
 private:
+    void setProcess(pid_t id)
+    {
+        if (id == 0) {
+            for (auto &item : startedProcesses) {
+                pid_t expected = m_process;
+                item.compare_exchange_strong(expected, 0);
+            }
+        } else {
+            for (auto &item : startedProcesses) {
+                pid_t expected = 0;
+                if (item.compare_exchange_strong(expected, id))
+                    break;
+            }
+        }
+        m_process = id;
+    }
+
     const std::string m_name;
     const std::string m_host;
     const std::string m_settings;
@@ -1223,7 +1257,7 @@
     {
         std::string name = std::filesystem::temp_directory_path().string() + "/review3-XXXXXX";
         if (!mkdtemp(name.data()))
-            std::exit(NOT_RUN);
+            giveUp(0);
         return name;
     }
 
@@ -1269,9 +1303,8 @@
                 "grants"}},
               {"rows", json::array()}};
     for (const auto &[name, isKeyed] : services)
-        list["rows"].push_back({name, "/healthz", 130, "h1", false,
-                                isKeyed ? json(true) : json(), isKeyed ? json("5s") : json(),
-                                isKeyed ? json("request") : json()});
+        list["rows"].push_back({name, "/healthz", 130, "h1", false, isKeyed ? json(true) : json(),
+                                isKeyed ? json("5s") : json(), isKeyed ? json("request") : json()});
     return json{{"resource-version", version},
                 {"routes", table},
                 {"services", list},
--- a/review/standins-3/unknowntransfercoding.cpp
+++ b/review/standins-3/unknowntransfercoding.cpp
@@ -50,9 +50,9 @@
 /// that the system does not know.
 int unknownTransferCoding(deployment &system, bool hasTrouble)
 {
-    system.shared.put("keyed.op", "config",
-                      configuration(3, {{"r-write", "/write/", "unsafe", SERVICE}},
-                                    {{SERVICE, false}}));
+    system.shared.put(
+            "keyed.op", "config",
+            configuration(3, {{"r-write", "/write/", "unsafe", SERVICE}}, {{SERVICE, false}}));
     std::mutex mutex;
     std::map<std::string, std::string> sentBodies;
     int smuggled = 0;
@@ -72,8 +72,7 @@
             } else if (found->second != call.body()) {
                 ++changed;
                 record.line("BROKEN UNASKED: %s runs %s with a body of %zu bytes instead of %zu",
-                            by.id().c_str(), id.c_str(), call.body().size(),
-                            found->second.size());
+                            by.id().c_str(), id.c_str(), call.body().size(), found->second.size());
             } else {
                 ++whole;
             }
@@ -98,8 +97,8 @@
         }
         std::ostringstream size;
         size << std::hex << inner.size();
-        const auto head = headOf("POST", "/write/outer", id) + "Transfer-Encoding: "
-                + (hasTrouble ? coding : "chunked") + "\r\n\r\n";
+        const auto head = headOf("POST", "/write/outer", id)
+                + "Transfer-Encoding: " + (hasTrouble ? coding : "chunked") + "\r\n\r\n";
         const auto body = hasTrouble ? inner : size.str() + "\r\n" + inner + "\r\n0\r\n\r\n";
         record.line("sent %s with Transfer-Encoding: %s", id.c_str(),
                     hasTrouble ? coding.c_str() : "chunked");
